--- a/src/main/java/asterrail/Adapter.java
+++ b/src/main/java/sandpaddle/Adapter.java
@@ -1,4 +1,4 @@
-package asterrail;
+package sandpaddle;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
--- a/src/main/java/asterrail/Decide.java
+++ b/src/main/java/sandpaddle/Decide.java
@@ -1,8 +1,8 @@
-package asterrail;
+package sandpaddle;
 
-import static asterrail.State.NEVER;
+import static sandpaddle.State.NEVER;
 
-import asterrail.State.*;
+import sandpaddle.State.*;
 import java.util.*;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
--- a/src/main/java/asterrail/Gateway.java
+++ b/src/main/java/sandpaddle/Gateway.java
@@ -1,4 +1,4 @@
-package asterrail;
+package sandpaddle;
 
 import java.util.List;
 import java.util.function.Consumer;
--- a/src/main/java/asterrail/Main.java
+++ b/src/main/java/sandpaddle/Main.java
@@ -1,4 +1,4 @@
-package asterrail;
+package sandpaddle;
 
 import java.io.BufferedOutputStream;
 import java.io.FileDescriptor;
@@ -11,16 +11,16 @@
 
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar asterrail.jar adapter");
+            System.err.println("usage: java -jar sandpaddle.jar adapter");
             System.exit(2);
         }
         try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
             new Adapter(System.in, out).run();
         } catch (Adapter.WireException e) {
-            System.err.println("asterrail: " + e.getMessage());
+            System.err.println("sandpaddle: " + e.getMessage());
             System.exit(1);
         } catch (IOException e) {
-            System.err.println("asterrail: input or output failed: " + e.getMessage());
+            System.err.println("sandpaddle: input or output failed: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/asterrail/News.java
+++ b/src/main/java/sandpaddle/News.java
@@ -1,4 +1,4 @@
-package asterrail;
+package sandpaddle;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/src/main/java/asterrail/State.java
+++ b/src/main/java/sandpaddle/State.java
@@ -1,8 +1,8 @@
-package asterrail;
+package sandpaddle;
 
-import asterrail.Gateway.EngineEntry;
-import asterrail.Gateway.Request;
-import asterrail.Gateway.RequestClass;
+import sandpaddle.Gateway.EngineEntry;
+import sandpaddle.Gateway.Request;
+import sandpaddle.Gateway.RequestClass;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/test/java/asterrail/GrownTest.java
+++ b/src/test/java/sandpaddle/GrownTest.java
@@ -1,4 +1,4 @@
-package asterrail;
+package sandpaddle;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/test/java/asterrail/Site.java
+++ b/src/test/java/sandpaddle/Site.java
@@ -1,4 +1,4 @@
-package asterrail;
+package sandpaddle;
 
 import java.util.ArrayList;
 import java.util.Arrays;
