--- a/src/main/java/sandpaddle/Main.java
+++ b/src/main/java/sandpaddle/Main.java
@@ -1,8 +1,12 @@
 package sandpaddle;
 
+import sandpaddle.sim.Adapter;
 import java.io.BufferedOutputStream;
+import sandpaddle.sim.Adapter;
 import java.io.FileDescriptor;
+import sandpaddle.sim.Adapter;
 import java.io.FileOutputStream;
+import sandpaddle.sim.Adapter;
 import java.io.IOException;
 
 /** Command line: {@code adapter} speaks the simulator's wire on standard input and output. */
--- /dev/null
+++ b/src/main/java/sandpaddle/config/Row.java
@@ -0,0 +1,147 @@
+package sandpaddle.config;
+
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+
+/** The fields of one object, read with their types checked; null and absent are the same. */
+public final class Row {
+    private final String path;
+    private final Map<String, Object> fields;
+
+    /** The path is put before the names of fields in messages: empty, or ending in a dot. */
+    public Row(String path, Map<String, Object> fields) {
+        this.path = path;
+        this.fields = fields;
+    }
+
+    /** A value of this object that cannot be used. */
+    public FieldException wrong(String field, String what) {
+        return new FieldException("field '" + path + field + "' " + what);
+    }
+
+    private <T> T get(String field, Class<T> type, T otherwise, boolean needed) throws FieldException {
+        Object v = fields.get(field);
+        if (v == null && !needed) {
+            return otherwise;
+        }
+        if (v == null) {
+            throw wrong(field, "is missing");
+        }
+        if (!type.isInstance(v)) {
+            throw wrong(field, "has the wrong type");
+        }
+        return type.cast(v);
+    }
+
+    public boolean has(String field) {
+        return fields.get(field) != null;
+    }
+
+    public String text(String field) throws FieldException {
+        return get(field, String.class, null, true);
+    }
+
+    public String textOr(String field) throws FieldException {
+        return get(field, String.class, null, false);
+    }
+
+    public long integer(String field) throws FieldException {
+        return get(field, Long.class, 0L, true);
+    }
+
+    public long integerOr(String field, long otherwise) throws FieldException {
+        return get(field, Long.class, otherwise, false);
+    }
+
+    public double number(String field) throws FieldException {
+        return get(field, Number.class, 0, true).doubleValue();
+    }
+
+    public double numberOr(String field, double otherwise) throws FieldException {
+        return get(field, Number.class, otherwise, false).doubleValue();
+    }
+
+    public boolean flag(String field) throws FieldException {
+        return get(field, Boolean.class, null, true);
+    }
+
+    public boolean flagOr(String field, boolean otherwise) throws FieldException {
+        return get(field, Boolean.class, otherwise, false);
+    }
+
+    public List<?> list(String field) throws FieldException {
+        return get(field, List.class, List.of(), true);
+    }
+
+    public Object at(String field, int i) {
+        return fields.get(field) instanceof List<?> l && i < l.size() ? l.get(i) : null;
+    }
+
+    public <T> T oneOf(String field, Map<String, T> values) throws FieldException {
+        T v = values.get(text(field));
+        if (v == null) {
+            throw wrong(field, "has the unknown value '" + text(field) + "'");
+        }
+        return v;
+    }
+
+    @SuppressWarnings("unchecked")
+    private Row rowOf(Object v, String field) throws FieldException {
+        if (!(v instanceof Map)) {
+            throw wrong(field, "has the wrong type");
+        }
+        return new Row(path + field + ".", (Map<String, Object>) v);
+    }
+
+    public Row row(String field) throws FieldException {
+        return rowOf(get(field, Map.class, null, true), field);
+    }
+
+    public Row rowOr(String field) throws FieldException {
+        return has(field) ? row(field) : new Row(path + field + ".", Map.of());
+    }
+
+    public List<Row> rows(String field) throws FieldException {
+        List<Row> rows = new ArrayList<>();
+        for (Object v : list(field)) {
+            rows.add(rowOf(v, field));
+        }
+        return rows;
+    }
+
+    public List<Integer> indexes(String field) throws FieldException {
+        if (!has(field)) {
+            return null;
+        }
+        List<Integer> indexes = new ArrayList<>();
+        for (Object v : list(field)) {
+            if (!(v instanceof Long n)) {
+                throw wrong(field, "has the wrong type");
+            }
+            indexes.add(n.intValue());
+        }
+        return indexes;
+    }
+
+    public double[] load() throws FieldException {
+        if (!has("load")) {
+            return null;
+        }
+        List<?> values = list("load");
+        double[] load = new double[values.size()];
+        for (int i = 0; i < load.length; i++) {
+            load[i] = values.get(i) instanceof Number n ? n.doubleValue() : Double.NaN;
+        }
+        return load;
+    }
+
+    public byte[] bytes(String field) throws FieldException {
+        try {
+            return HexFormat.of().parseHex(text(field));
+        } catch (IllegalArgumentException e) {
+            throw wrong(field, "is not hex");
+        }
+    }
+}
--- a/src/main/java/sandpaddle/Decide.java
+++ b/src/main/java/sandpaddle/decide/Decide.java
@@ -1,8 +1,8 @@
-package sandpaddle;
+package sandpaddle.decide;
 
-import static sandpaddle.State.NEVER;
+import static sandpaddle.decide.State.NEVER;
 
-import sandpaddle.State.*;
+import sandpaddle.decide.State.*;
 import java.util.*;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
--- a/src/main/java/sandpaddle/Gateway.java
+++ b/src/main/java/sandpaddle/decide/Gateway.java
@@ -1,4 +1,4 @@
-package sandpaddle;
+package sandpaddle.decide;
 
 import java.util.List;
 import java.util.function.Consumer;
--- a/src/main/java/sandpaddle/News.java
+++ b/src/main/java/sandpaddle/decide/News.java
@@ -1,4 +1,4 @@
-package sandpaddle;
+package sandpaddle.decide;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/src/main/java/sandpaddle/State.java
+++ b/src/main/java/sandpaddle/decide/State.java
@@ -1,8 +1,8 @@
-package sandpaddle;
+package sandpaddle.decide;
 
-import sandpaddle.Gateway.EngineEntry;
-import sandpaddle.Gateway.Request;
-import sandpaddle.Gateway.RequestClass;
+import sandpaddle.decide.Gateway.EngineEntry;
+import sandpaddle.decide.Gateway.Request;
+import sandpaddle.decide.Gateway.RequestClass;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- /dev/null
+++ b/src/main/java/sandpaddle/sim/Adapter.java
@@ -0,0 +1,254 @@
+package sandpaddle.sim;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import sandpaddle.config.FieldException;
+import sandpaddle.config.Json;
+import sandpaddle.config.Row;
+import sandpaddle.config.SettingsReader;
+import sandpaddle.decide.Decide;
+import sandpaddle.decide.Gateway;
+
+/** Translates the simulator's wire to the events and actions of {@link Gateway}; it decides nothing. */
+public final class Adapter {
+    /** Input that cannot be understood; the message names line, event and fault. */
+    public static final class WireException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        WireException(String message) {
+            super(message);
+        }
+    }
+
+    private static final Map<String, Gateway.Result> RESULTS = Map.of(
+            "Ok", Gateway.Result.OK, "Failed", Gateway.Result.ERROR, "QueueFull", Gateway.Result.FULL,
+            "TimedOut", Gateway.Result.TIMEOUT, "ConnectError", Gateway.Result.CONNECT_FAILED,
+            "ResetByPeer", Gateway.Result.RESET, "Canceled", Gateway.Result.CANCELLED, "Ignored", Gateway.Result.MOOT);
+    private static final Map<String, Gateway.Status> STATUSES = Map.of(
+            "on", Gateway.Status.UP, "fading", Gateway.Status.DRAINING, "off", Gateway.Status.GONE);
+    private static final Map<String, Gateway.ListKind> LISTS = Map.of(
+            "delta", Gateway.ListKind.CHANGES, "full", Gateway.ListKind.FULL,
+            "cached", Gateway.ListKind.CACHED, "failed", Gateway.ListKind.FAILED);
+
+    private final JsonParser in;
+    private final JsonGenerator out;
+    private final Map<String, Gateway> instances = new HashMap<>();
+    private final Map<Long, List<Gateway.EngineEntry>> pools = new HashMap<>();
+    private long nowUs;
+    private Object batch = 0L;
+    private String name = "-";
+
+    public Adapter(InputStream input, OutputStream output) throws IOException {
+        JsonFactory factory = new JsonFactory();
+        in = factory.createParser(input);
+        out = factory.createGenerator(output);
+        out.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
+    }
+
+    /** Answers batches until the input ends. */
+    public void run() throws IOException, WireException {
+        try {
+            JsonToken token = in.nextToken();
+            while (token != null) {
+                line(token);
+                token = in.nextToken();
+            }
+        } catch (JsonProcessingException e) {
+            throw wrong("malformed JSON");
+        }
+    }
+
+    private WireException wrong(String what) {
+        return new WireException("line " + in.currentLocation().getLineNr() + ", event '" + name + "': " + what);
+    }
+
+    private void line(JsonToken token) throws IOException, WireException {
+        name = "-";
+        if (token != JsonToken.START_OBJECT || in.nextToken() != JsonToken.FIELD_NAME) {
+            throw wrong("expected an object with one key");
+        }
+        name = in.currentName();
+        if (in.nextToken() != JsonToken.START_OBJECT) {
+            throw wrong("expected an object of fields");
+        }
+        Row row = new Row("", Json.fields(in));
+        if (in.nextToken() != JsonToken.END_OBJECT) {
+            throw wrong("expected one key");
+        }
+        try {
+            event(row);
+        } catch (FieldException e) {
+            throw wrong(e.getMessage());
+        }
+    }
+
+    private void event(Row row) throws IOException, WireException, FieldException {
+        switch (name) {
+            case "sync" -> {
+                nowUs = row.integer("ts_us");
+                batch = row.integer("batch");
+            }
+            case "end" -> {
+                out.writeStartObject();
+                out.writeObjectFieldStart("ok");
+                out.writeNumberField("batch", (Long) batch);
+                out.writeEndObject();
+                out.writeEndObject();
+                out.writeRaw('\n');
+                out.flush();
+            }
+            case "pool" -> pools.put(row.integer("set_id"), entries(row));
+            case "configure" -> configure(row);
+            case "teardown" -> {
+                instance(row);
+                instances.remove(row.text("who"));
+            }
+            default -> {
+                Gateway.Event event = translate(row);
+                String who = row.text("who");
+                try {
+                    instance(row).on(nowUs, event, action -> write(who, action));
+                } catch (RuntimeException e) {
+                    throw wrong("cannot be handled: " + e);
+                }
+            }
+        }
+    }
+
+    private Gateway instance(Row row) throws WireException, FieldException {
+        Gateway g = instances.get(row.text("who"));
+        if (g == null) {
+            throw wrong("unknown instance '" + row.text("who") + "'");
+        }
+        return g;
+    }
+
+    private void configure(Row row) throws WireException, FieldException {
+        long seed = row.integer("seed");
+        try {
+            instances.put(row.text("who"), new Decide(SettingsReader.read(row.row("boot_info")), seed));
+        } catch (IllegalArgumentException e) {
+            throw wrong(e.getMessage());
+        }
+    }
+
+    private Gateway.Event translate(Row row) throws WireException, FieldException {
+        return switch (name) {
+            case "endpoints" -> endpoints(row);
+            case "order" -> new Gateway.Request(row.text("msg_id"), (int) row.integer("priority"), row.textOr("key"),
+                    row.integer("expires_in_us"), row.integerOr("estimate_us", 0), row.numberOr("need_mb", 0),
+                    (long) row.numberOr("data_group", -1), row.flagOr("retry", false));
+            case "accepted" -> new Gateway.Begun(row.text("msg_id"), (int) row.integer("copy"));
+            case "report_back" -> outcome(row);
+            case "status_note" -> note(row);
+            case "left" -> new Gateway.ClientLeft(row.text("msg_id"));
+            case "ping_result" -> new Gateway.ProbeResult(row.text("node"), row.oneOf("outcome", RESULTS),
+                    row.integer("rtt_us"), row.load());
+            case "memo" -> new Gateway.PeerMessage((int) row.integer("neighbour"), row.bytes("msg"));
+            case "alarm" -> new Gateway.Timer(row.text("token"));
+            default -> throw wrong("unknown event");
+        };
+    }
+
+    private Gateway.Event endpoints(Row row) throws WireException, FieldException {
+        Gateway.ListKind kind = row.oneOf("kind", LISTS);
+        if (kind == Gateway.ListKind.FAILED) {
+            return new Gateway.EngineList(kind, List.of());
+        }
+        List<Gateway.EngineEntry> entries = pools.get(row.integer("set_id"));
+        if (entries == null) {
+            throw wrong("list " + row.integer("set_id") + " was not declared");
+        }
+        return new Gateway.EngineList(kind, entries);
+    }
+
+    private Gateway.Event outcome(Row row) throws WireException, FieldException {
+        long used = row.integerOr("used_up", 0);
+        return new Gateway.Outcome(row.text("msg_id"), (int) row.integer("copy"), row.text("node"),
+                row.oneOf("outcome", RESULTS), row.flag("settled"), row.integer("rtt_us"), used / 4096,
+                used % 4096 * 4, row.load());
+    }
+
+    private Gateway.Event note(Row row) throws WireException, FieldException {
+        int topic = (int) row.integer("topic");
+        Gateway.Topic[] topics = Gateway.Topic.values();
+        if (topic < 1 || topic > topics.length) {
+            throw wrong("unknown topic " + topic);
+        }
+        return new Gateway.Note(row.text("msg_id"), (int) row.integer("copy"), topics[topic - 1], row.number("x"));
+    }
+
+    private List<Gateway.EngineEntry> entries(Row row) throws WireException, FieldException {
+        List<Gateway.EngineEntry> list = new ArrayList<>();
+        for (Row e : row.rows("entries")) {
+            list.add(new Gateway.EngineEntry(e.text("node"), (int) e.integer("az"), (int) e.integer("hw"),
+                    (int) e.integerOr("pod", 0), e.oneOf("availability", STATUSES), e.numberOr("rating", 1),
+                    e.integerOr("online_since_us", 0)));
+        }
+        return list;
+    }
+
+    private void write(String who, Gateway.Action action) {
+        try {
+            out.writeStartObject();
+            if (action instanceof Gateway.Send a) {
+                open("transmit", who, a.id());
+                out.writeStringField("node", a.engine());
+                out.writeNumberField("within_us", a.timeoutUs());
+            } else if (action instanceof Gateway.SetTerms a) {
+                open("grant_and_rank", who, a.id());
+                out.writeNumberField("importance", a.priority());
+                out.writeNumberField("workspace_mb", a.memoryMb());
+            } else if (action instanceof Gateway.Refuse a) {
+                open("busy", who, a.id());
+                out.writeNumberField("not_before_for_us", a.retryAfterUs());
+            } else if (action instanceof Gateway.Fail a) {
+                open("drop_request", who, a.id());
+            } else if (action instanceof Gateway.Cancel a) {
+                open("call_off", who, a.id());
+                out.writeNumberField("copy", a.attempt());
+            } else if (action instanceof Gateway.Probe a) {
+                open("sample", who, null);
+                out.writeStringField("node", a.engine());
+            } else if (action instanceof Gateway.TellPeers a) {
+                open("write_peer", who, null);
+                out.writeObjectField("target", a.peer());
+                out.writeStringField("msg", HexFormat.of().formatHex(a.body()));
+            } else if (action instanceof Gateway.SetTimer a) {
+                open("notify_me", who, null);
+                out.writeStringField("token", a.token());
+                out.writeNumberField("alarm_time_us", a.atUs());
+            } else if (action instanceof Gateway.Subscribe) {
+                open("track", who, null);
+                out.writeBooleanField("enable", true);
+            } else if (action instanceof Gateway.Log a) {
+                open("debug", who, null);
+                out.writeStringField("note_text", a.text());
+            }
+            out.writeEndObject();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private void open(String tag, String who, String id) throws IOException {
+        out.writeObjectFieldStart(tag);
+        out.writeStringField("who", who);
+        if (id != null) {
+            out.writeStringField("msg_id", id);
+        }
+    }
+}
--- a/src/test/java/sandpaddle/DecideTest.java
+++ b/src/test/java/sandpaddle/decide/DecideTest.java
@@ -1,4 +1,4 @@
-package sandpaddle;
+package sandpaddle.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -37,7 +37,7 @@
 
     @Test
     void moduleKeepsItsSize() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/sandpaddle/Decide.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/sandpaddle/decide/Decide.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 910);
         assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
     }
--- a/src/test/java/sandpaddle/GrownTest.java
+++ b/src/test/java/sandpaddle/decide/GrownTest.java
@@ -1,4 +1,4 @@
-package sandpaddle;
+package sandpaddle.decide;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/test/java/sandpaddle/Site.java
+++ b/src/test/java/sandpaddle/decide/Site.java
@@ -1,4 +1,4 @@
-package sandpaddle;
+package sandpaddle.decide;
 
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/test/java/sandpaddle/AdapterTest.java
+++ b/src/test/java/sandpaddle/sim/AdapterTest.java
@@ -1,4 +1,4 @@
-package sandpaddle;
+package sandpaddle.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
