--- a/src/main/java/sandpaddle/Main.java
+++ b/src/main/java/sandpaddle/Main.java
@@ -1,23 +1,59 @@
 package sandpaddle;
 
-import sandpaddle.sim.Adapter;
 import java.io.BufferedOutputStream;
-import sandpaddle.sim.Adapter;
 import java.io.FileDescriptor;
-import sandpaddle.sim.Adapter;
 import java.io.FileOutputStream;
-import sandpaddle.sim.Adapter;
 import java.io.IOException;
+import java.time.Clock;
+import sandpaddle.config.Config;
+import sandpaddle.config.FieldException;
+import sandpaddle.serve.Server;
+import sandpaddle.sim.Adapter;
 
-/** Command line: {@code adapter} speaks the simulator's wire on standard input and output. */
+/**
+ * Command line: {@code serve} is one real gateway; {@code adapter} speaks the simulator's wire on standard input
+ * and output.
+ */
 public final class Main {
+    private static final long END_MOST_MS = 10_000;
+
     private Main() { }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar sandpaddle.jar adapter");
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "serve" -> serve();
+            case "adapter" -> adapt();
+            default -> {
+                System.err.println("usage: java -jar sandpaddle.jar serve|adapter");
+                System.exit(2);
+            }
+        }
+    }
+
+    private static void serve() {
+        try {
+            Server server = new Server(Config.load(System.getenv()), Clock.systemUTC());
+            Thread main = Thread.currentThread();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                server.end();
+                try {
+                    main.join(END_MOST_MS); // the process lives until this hook ends
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }));
+            server.run();
+        } catch (FieldException e) {
+            System.err.println("sandpaddle: configuration: " + e.getMessage());
             System.exit(2);
+        } catch (IOException e) {
+            System.err.println("sandpaddle: cannot serve: " + e);
+            System.exit(1);
         }
+    }
+
+    private static void adapt() {
         try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
             new Adapter(System.in, out).run();
         } catch (Adapter.WireException e) {
--- /dev/null
+++ b/src/main/java/sandpaddle/config/Config.java
@@ -0,0 +1,88 @@
+package sandpaddle.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import sandpaddle.decide.Gateway;
+
+/** All that one gateway is told at its start. */
+public record Config(String name, InetSocketAddress listen, long seed, int sockets, InetSocketAddress feed,
+        long knownNumber, List<ListEvent> known, Names names, Gateway.Settings settings, Duration engineIdle,
+        Duration connectTimeout) {
+    private static final String FILE = "BALANCER_CONFIG";
+    private static final long SOCKETS = 1024;
+    private static final long LEAST_SOCKETS = 64;
+    private static final long IDLE_US = 15_000_000;
+    private static final long CONNECT_US = 250_000;
+    private static final int HEX = 16;
+
+    /** Reads the file that the environment names. */
+    public static Config load(Map<String, String> environment) throws FieldException {
+        String file = environment.get(FILE);
+        if (file == null || file.isBlank()) {
+            throw new FieldException("environment variable " + FILE + " is not set");
+        }
+        try {
+            return read(Json.object(Files.readAllBytes(Path.of(file)), ""));
+        } catch (IOException e) {
+            throw new FieldException(file + " cannot be read: " + e.getMessage());
+        }
+    }
+
+    static Config read(Row all) throws FieldException {
+        Row settings = all.row("settings");
+        Names names = Names.read(settings);
+        Row known = all.rowOr("known");
+        List<ListEvent> events = new ArrayList<>();
+        for (Row event : known.has("events") ? known.rows("events") : List.<Row>of()) {
+            events.add(ListEvent.read(event, names));
+        }
+        long last = events.isEmpty() ? 0 : events.get(events.size() - 1).number();
+        Row bounds = settings.row("bounds");
+        return new Config(all.has("name") ? all.text("name") : "sandpaddle", Address.read(all, "listen"), seed(all),
+                (int) atLeast(all.rowOr("limits"), "sockets", SOCKETS, LEAST_SOCKETS), Address.read(all, "feed"),
+                known.integerOr("n", last), events, names, checked(settings),
+                span(bounds, "conn_idle_us", IDLE_US), span(bounds, "connect_timeout_us", CONNECT_US));
+    }
+
+    private static Gateway.Settings checked(Row settings) throws FieldException {
+        try {
+            return SettingsReader.read(settings);
+        } catch (IllegalArgumentException e) {
+            throw new FieldException("field 'settings': " + e.getMessage());
+        }
+    }
+
+    private static long seed(Row all) throws FieldException {
+        if (!all.has("seed")) {
+            return System.nanoTime(); // any will do: it only spreads random choices
+        }
+        try {
+            return Long.parseUnsignedLong(all.text("seed"), HEX);
+        } catch (NumberFormatException e) {
+            throw all.wrong("seed", "is not 16 hex digits");
+        }
+    }
+
+    private static long atLeast(Row row, String field, long otherwise, long least) throws FieldException {
+        long n = row.integerOr(field, otherwise);
+        if (n < least || n > Integer.MAX_VALUE) {
+            throw row.wrong(field, "is under " + least + " or too large");
+        }
+        return n;
+    }
+
+    private static Duration span(Row row, String field, long otherwise) throws FieldException {
+        long us = row.integerOr(field, otherwise);
+        if (us <= 0) {
+            throw row.wrong(field, "is not above 0");
+        }
+        return Duration.of(us, ChronoUnit.MICROS);
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/config/Names.java
@@ -0,0 +1,20 @@
+package sandpaddle.config;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the settings call things that the module knows by their position. */
+public record Names(List<String> routes, List<String> zones, List<String> kinds, List<String> reportFields) {
+    static Names read(Row settings) throws FieldException {
+        List<String> routes = new ArrayList<>();
+        for (Row c : settings.rows("classes")) {
+            routes.add(c.text("name"));
+        }
+        return new Names(routes, texts(settings, "failure_domains"), texts(settings, "models"),
+                texts(settings.row("report"), "fields"));
+    }
+
+    private static List<String> texts(Row row, String field) throws FieldException {
+        return row.list(field).stream().map(String::valueOf).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/feed/Feed.java
@@ -0,0 +1,136 @@
+package sandpaddle.feed;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
+import sandpaddle.config.FieldException;
+import sandpaddle.config.Json;
+import sandpaddle.config.ListEvent;
+import sandpaddle.config.Names;
+import sandpaddle.net.Connection;
+import sandpaddle.net.Loop;
+import sandpaddle.net.Timers;
+
+/**
+ * Follows the control feed: every event once and in order, over as many connections as it takes. A connection
+ * that is silent, or that says what cannot be understood, is replaced by one from the last number on.
+ */
+public final class Feed {
+    /** A line comes every second; the engine list must be known within a few seconds. */
+    private static final Duration SILENCE = Duration.ofMillis(2200);
+    private static final Duration CONNECT = Duration.ofMillis(800);
+    private static final Duration AGAIN_FIRST = Duration.ofMillis(50);
+    private static final Duration AGAIN_MOST = Duration.ofMillis(800);
+
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final Names names;
+    private final Consumer<ListEvent> told;
+    private long last;
+    private Link link;
+    private Duration again = AGAIN_FIRST;
+
+    public Feed(Loop loop, InetSocketAddress address, Names names, long last, Consumer<ListEvent> told) {
+        this.loop = loop;
+        this.address = address;
+        this.names = names;
+        this.last = last;
+        this.told = told;
+    }
+
+    public void start() {
+        link = new Link();
+        link.open();
+    }
+
+    private void restart(String why) {
+        Logger.info("control feed: {}; once more from {}", why, last);
+        loop.after(again, this::start);
+        Duration doubled = again.multipliedBy(2);
+        again = doubled.compareTo(AGAIN_MOST) < 0 ? doubled : AGAIN_MOST;
+    }
+
+    /** One connection to the feed. */
+    private final class Link implements Connection.Owner {
+        private final LineReader lines = new LineReader();
+        private Connection connection;
+        private Timers.Timer bound;
+        private boolean over;
+
+        void open() {
+            bound = loop.after(CONNECT, () -> end("no connection"));
+            try {
+                connection = Connection.open(loop, address, this);
+            } catch (IOException e) {
+                end(e.toString());
+            }
+        }
+
+        @Override
+        public void connected() {
+            connection.write(("SUB " + last + "\n").getBytes(StandardCharsets.US_ASCII));
+            listen();
+        }
+
+        private void listen() {
+            bound.cancel();
+            bound = loop.after(SILENCE, () -> end("silent"));
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            try {
+                for (byte[] line = lines.next(bytes); line != null && !over; line = lines.next(bytes)) {
+                    line(line);
+                }
+                if (lines.isTooLong()) {
+                    end("line too long");
+                }
+            } catch (IOException | FieldException e) {
+                end("malformed line: " + e.getMessage());
+            }
+        }
+
+        private void line(byte[] line) throws IOException, FieldException {
+            listen();
+            String text = new String(line, StandardCharsets.UTF_8).strip();
+            if (text.isEmpty()) {
+                return;
+            }
+            if (text.matches("\\d{1,18}")) {
+                again = AGAIN_FIRST;
+                if (Long.parseLong(text) > last) {
+                    end("events up to " + text + " were missed");
+                }
+                return;
+            }
+            ListEvent event = ListEvent.read(Json.object(line, ""), names);
+            if (event.number() > last + 1) {
+                end("event " + event.number() + " came too early");
+            } else if (event.number() == last + 1) {
+                last = event.number();
+                told.accept(event);
+            }
+        }
+
+        @Override
+        public void closed(Exception cause) {
+            end(cause == null ? "closed" : cause.toString());
+        }
+
+        private void end(String why) {
+            if (!over) {
+                over = true;
+                bound.cancel();
+                if (connection != null) {
+                    connection.close();
+                }
+                restart(why);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/http/Attempt.java
@@ -0,0 +1,313 @@
+package sandpaddle.http;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import sandpaddle.net.Loop;
+import sandpaddle.net.Timers;
+import sandpaddle.serve.ResultSet;
+
+/**
+ * The life of one attempt: POST, long polls until its end, the further pages. It ends when its end is read, or
+ * when the DELETE that gives it up was written whole; the listener hears of the end once.
+ */
+public final class Attempt {
+    /** Who is told. */
+    public interface Listener {
+        void note(String topic, double value);
+
+        void ended(AttemptEnd end);
+    }
+
+    static final String STATS = "x-stats";
+    private static final int OK = 200;
+    private static final int NOT_YET = 202;
+    private static final int FULL = 503;
+    private static final int OVER = 504;
+    private static final int MOST_PAGES = 64;
+    private static final int MOST_BYTES = 256 * 1024;
+    /** An engine answers a poll after 250 ms, and gives up a query not asked for in 2 s. */
+    private static final Duration SILENT = Duration.ofMillis(900);
+    private static final Duration AGAIN = Duration.ofMillis(100); // between tries to reach a silent engine
+    private static final int MOST_BREAKS = 3; // connections broken one after the other, with no answer between
+
+    private enum Phase { CONNECTING, OUT, GIVING_UP, OVER }
+
+    private final Loop loop;
+    private final Engines engines;
+    private final String engine;
+    private final EnginePool pool;
+    private final AttemptOrder order;
+    private final Listener listener;
+    private final List<byte[]> pages = new ArrayList<>();
+    private final Timers.Timer timeout;
+    private Phase phase = Phase.CONNECTING;
+    private EngineConnection connection; // the one that a call is out on
+    private int pagesInAll = 1, bytes, breaks;
+    private boolean everSent; // a byte of the POST may have left
+    private String stats;
+
+    Attempt(Loop loop, Engines engines, String engine, AttemptOrder order, Listener listener) {
+        this.loop = loop;
+        this.engines = engines;
+        this.engine = engine;
+        this.order = order;
+        this.listener = listener;
+        pool = engines.pool(engine);
+        timeout = loop.at(order.until(), () -> giveUp(new AttemptEnd.TimedOut(), false));
+        pool.acquire(new EnginePool.Waiter() {
+            @Override
+            public void up(EngineConnection c) {
+                post(c);
+            }
+
+            @Override
+            public void down(String why, boolean refused) {
+                if (phase == Phase.CONNECTING) {
+                    end(new AttemptEnd.NotConnected(why));
+                }
+            }
+        });
+    }
+
+    /** Guards the drain rule: the list may have changed while the connection came up. */
+    private void post(EngineConnection c) {
+        if (phase != Phase.CONNECTING) {
+            pool.release(c);
+        } else if (!engines.isUp(engine)) {
+            pool.release(c);
+            end(new AttemptEnd.NotSent("the engine drains"));
+        } else {
+            phase = Phase.OUT;
+            Duration left = Duration.between(loop.now(), order.until());
+            call(c, Requests.start(pool.host(), order, left), 0);
+        }
+    }
+
+    private void call(EngineConnection c, byte[] request, int page) {
+        connection = c;
+        c.call(request, SILENT, new EngineConnection.Call() {
+            @Override
+            public void answered(Response r) {
+                connection = null;
+                if (phase == Phase.OUT) {
+                    breaks = 0;
+                    heard(r, page);
+                }
+            }
+
+            @Override
+            public void failed(String why, boolean maybeSent) {
+                connection = null;
+                if (phase == Phase.OUT) {
+                    broke(why, maybeSent, page);
+                }
+            }
+        });
+    }
+
+    /**
+     * Guards against answers that got lost with their connection, or with an engine that stands still: the query
+     * is bound to no connection, so it is asked for on another one. Only what was never written never ran.
+     */
+    private void broke(String why, boolean maybeSent, int page) {
+        if (!maybeSent && !everSent) {
+            end(new AttemptEnd.NotConnected(why));
+        } else if (++breaks > MOST_BREAKS && !why.startsWith("no answer")) {
+            end(new AttemptEnd.Broken(why));
+        } else {
+            everSent = true;
+            askAgain(page);
+        }
+    }
+
+    private void askAgain(int page) {
+        pool.connect(new EnginePool.Waiter() {
+            @Override
+            public void up(EngineConnection c) {
+                if (phase == Phase.OUT) {
+                    call(c, Requests.ask(pool.host(), order.trace(), page), page);
+                } else {
+                    pool.release(c);
+                }
+            }
+
+            @Override
+            public void down(String why, boolean refused) {
+                if (phase != Phase.OUT) {
+                    return;
+                }
+                if (refused) {
+                    end(new AttemptEnd.Broken(why));
+                } else {
+                    loop.after(AGAIN, () -> {
+                        if (phase == Phase.OUT) {
+                            askAgain(page);
+                        }
+                    });
+                }
+            }
+        });
+    }
+
+    private void heard(Response r, int page) {
+        everSent = true;
+        stats = r.header(STATS) != null ? r.header(STATS) : stats;
+        boolean declined = "1".equals(r.header("x-declined"));
+        if (r.status() == OK) {
+            page(r, page);
+        } else if (r.status() == NOT_YET && page == 0) {
+            note(r);
+            ask(0);
+        } else if (r.status() == FULL && declined) {
+            end(new AttemptEnd.Declined(stats));
+        } else if (r.status() == OVER && declined) {
+            end(new AttemptEnd.Lapsed(stats));
+        } else {
+            end(new AttemptEnd.Errored("status " + r.status(), stats));
+        }
+    }
+
+    private void note(Response r) {
+        String topic = r.header("x-result");
+        String value = r.header("note-value");
+        if (topic != null && value != null) {
+            try {
+                listener.note(topic, Double.parseDouble(value));
+            } catch (NumberFormatException e) {
+                // a note that cannot be read is no note
+            }
+        }
+    }
+
+    /** Only a result whose pages are all in, numbered as asked for and made of whole rows, is an answer. */
+    private void page(Response r, int page) {
+        if (page == 0) {
+            pagesInAll = r.number("result-pages", 1);
+        }
+        bytes += r.body().length;
+        boolean numbered = page == 0 ? pagesInAll >= 1 && pagesInAll <= MOST_PAGES
+                : r.number("result-page", -1) == page;
+        if (!numbered || bytes > MOST_BYTES || !ResultSet.isWhole(r.body())) {
+            end(new AttemptEnd.Errored("malformed page " + page, stats));
+            return;
+        }
+        pages.add(r.body());
+        if (pages.size() == pagesInAll) {
+            end(new AttemptEnd.Done(new ResultSet(List.copyOf(pages)), stats));
+        } else {
+            ask(pages.size());
+        }
+    }
+
+    private void ask(int page) {
+        pool.acquire(new EnginePool.Waiter() {
+            @Override
+            public void up(EngineConnection c) {
+                if (phase == Phase.OUT) {
+                    call(c, Requests.ask(pool.host(), order.trace(), page), page);
+                } else {
+                    pool.release(c);
+                }
+            }
+
+            @Override
+            public void down(String why, boolean refused) {
+                if (phase == Phase.OUT) {
+                    broke(why, true, page);
+                }
+            }
+        });
+    }
+
+    /** Withdraws it; where the request is over nobody waits for the DELETE. */
+    public void cancel(boolean requestOver) {
+        giveUp(new AttemptEnd.Cancelled(), requestOver);
+    }
+
+    /** The request may have no other attempt out: the end is told only once the DELETE was written whole. */
+    private void giveUp(AttemptEnd as, boolean atOnce) {
+        if (phase == Phase.CONNECTING) {
+            end(new AttemptEnd.NotSent("given up before a connection came up"));
+            return;
+        }
+        if (phase != Phase.OUT) {
+            return;
+        }
+        phase = Phase.GIVING_UP;
+        timeout.cancel();
+        if (connection != null) {
+            connection.abandon();
+            connection = null;
+        }
+        delete(as);
+        if (atOnce || order.isLast()) {
+            end(as);
+        }
+    }
+
+    private void delete(AttemptEnd as) {
+        pool.acquire(new EnginePool.Waiter() {
+            @Override
+            public void up(EngineConnection c) {
+                c.call(Requests.delete(pool.host(), order.trace()), SILENT, new EngineConnection.Call() {
+                    @Override
+                    public void written() {
+                        end(as);
+                    }
+
+                    @Override
+                    public void answered(Response r) {
+                        end(as);
+                    }
+
+                    @Override
+                    public void failed(String why, boolean maybeSent) {
+                        end(as);
+                    }
+                });
+            }
+
+            @Override
+            public void down(String why, boolean refused) {
+                end(as); // nobody there to be told; the engine drops what is not asked for
+            }
+        });
+    }
+
+    /** Changes the priority of what is out, on a connection other than the one in a long poll. */
+    public void priority(int priority) {
+        if (phase != Phase.OUT) {
+            return;
+        }
+        pool.acquire(new EnginePool.Waiter() {
+            @Override
+            public void up(EngineConnection c) {
+                c.call(Requests.priority(pool.host(), order.trace(), priority), SILENT, new EngineConnection.Call() {
+                    @Override
+                    public void answered(Response r) {
+                        // the call is its own end
+                    }
+
+                    @Override
+                    public void failed(String why, boolean maybeSent) {
+                        // the query runs on with the priority that it has
+                    }
+                });
+            }
+
+            @Override
+            public void down(String why, boolean refused) {
+                // as above
+            }
+        });
+    }
+
+    private void end(AttemptEnd how) {
+        if (phase != Phase.OVER) {
+            phase = Phase.OVER;
+            timeout.cancel();
+            listener.ended(how);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/http/EngineConnection.java
@@ -0,0 +1,126 @@
+package sandpaddle.http;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import sandpaddle.net.Connection;
+import sandpaddle.net.Loop;
+import sandpaddle.net.Timers;
+
+/** A connection to an engine: one call at a time, each bound by time. */
+final class EngineConnection implements Connection.Owner {
+    /** What becomes of a call: {@link #written}, then one of the others. */
+    interface Call {
+        /** The call has left whole. */
+        default void written() {
+        }
+
+        void answered(Response response);
+
+        /** No answer comes; {@code maybeSent}: a byte of the call may have left. */
+        void failed(String why, boolean maybeSent);
+    }
+
+    private final Loop loop;
+    private final EnginePool pool;
+    private final ResponseParser parser = new ResponseParser();
+    private Connection connection;
+    private Call call;
+    private Timers.Timer bound;
+
+    EngineConnection(Loop loop, EnginePool pool) {
+        this.loop = loop;
+        this.pool = pool;
+    }
+
+    void attach(Connection up) {
+        connection = up;
+        up.owner(this);
+    }
+
+    boolean isStale() {
+        return connection.isStale();
+    }
+
+    /** Begins a call; without an answer within a time the connection is given up. */
+    void call(byte[] request, Duration most, Call next) {
+        call = next;
+        connection.clearStartedSending();
+        bound = loop.after(most, () -> fail("no answer in " + most.toMillis() + " ms"));
+        connection.write(request);
+        if (call == next && connection.unsent() == 0) {
+            next.written();
+        }
+    }
+
+    @Override
+    public void flushed() {
+        if (call != null) {
+            call.written();
+        }
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        if (call == null) {
+            fail("bytes that nobody asked for");
+            return;
+        }
+        try {
+            Response r = parser.feed(bytes);
+            if (r != null) {
+                answered(r, bytes.hasRemaining());
+            }
+        } catch (MalformedException e) {
+            fail("malformed answer: " + e.getMessage());
+        }
+    }
+
+    private void answered(Response r, boolean more) {
+        Call ended = take();
+        if (more || !r.keepAlive()) {
+            close();
+        } else {
+            pool.release(this);
+        }
+        ended.answered(r);
+    }
+
+    private Call take() {
+        Call c = call;
+        call = null;
+        bound.cancel();
+        return c;
+    }
+
+    private void fail(String why) {
+        boolean maybeSent = connection.startedSending();
+        close();
+        if (call != null) {
+            take().failed(why, maybeSent);
+        }
+    }
+
+    /** Ends the connection; a call that is out hears nothing more. */
+    void abandon() {
+        if (call != null) {
+            take();
+        }
+        close();
+    }
+
+    private void close() {
+        connection.close();
+        pool.closed(this);
+    }
+
+    @Override
+    public void closed(Exception cause) {
+        Response last = call != null ? parser.end() : null;
+        if (last != null) {
+            pool.closed(this);
+            take().answered(last);
+        } else {
+            fail(cause == null ? "closed by the engine" : cause.toString());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/http/EnginePool.java
@@ -0,0 +1,154 @@
+package sandpaddle.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Iterator;
+import sandpaddle.net.Connection;
+import sandpaddle.net.Loop;
+import sandpaddle.net.Timers;
+
+/**
+ * The connections to one engine, by its id: another engine at the same address has a pool of its own. Idle
+ * ones are retired before the engine closes them, so that no call meets a connection that is about to end.
+ */
+final class EnginePool {
+    /** Who waits for a connection; one of the two is called, {@link #up} maybe at once. */
+    interface Waiter {
+        void up(EngineConnection connection);
+
+        void down(String why, boolean refused);
+    }
+
+    private record Idle(EngineConnection connection, Instant since) { }
+
+    private final Loop loop;
+    private final Engines engines;
+    private final InetSocketAddress address;
+    private final ArrayDeque<Idle> idle = new ArrayDeque<>(); // the last one used is taken first
+    private boolean retired;
+
+    EnginePool(Loop loop, Engines engines, InetSocketAddress address) {
+        this.loop = loop;
+        this.engines = engines;
+        this.address = address;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    String host() {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    void acquire(Waiter waiter) {
+        retireIdle();
+        while (!idle.isEmpty()) {
+            EngineConnection c = idle.pollLast().connection;
+            if (!c.isStale()) {
+                waiter.up(c);
+                return;
+            }
+            c.abandon();
+        }
+        connect(waiter);
+    }
+
+    /** A new connection, whatever is idle. */
+    void connect(Waiter waiter) {
+        if (!engines.mayOpen()) {
+            waiter.down("no descriptor to spare", false);
+            return;
+        }
+        engines.opened();
+        EngineConnection c = new EngineConnection(loop, this);
+        Opening opening = new Opening(c, waiter);
+        try {
+            opening.connection = Connection.open(loop, address, opening);
+        } catch (IOException e) {
+            engines.ended();
+            waiter.down(e.toString(), true);
+        }
+    }
+
+    /** A connection that is coming up. */
+    private final class Opening implements Connection.Owner {
+        private final EngineConnection next;
+        private final Waiter waiter;
+        private final Timers.Timer bound;
+        private Connection connection;
+
+        Opening(EngineConnection next, Waiter waiter) {
+            this.next = next;
+            this.waiter = waiter;
+            bound = loop.after(engines.connectTimeout(), this::late);
+        }
+
+        private void late() {
+            connection.close();
+            engines.ended();
+            waiter.down("no connection in " + engines.connectTimeout().toMillis() + " ms", false);
+        }
+
+        @Override
+        public void connected() {
+            bound.cancel();
+            next.attach(connection);
+            waiter.up(next);
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            throw new IllegalStateException("read before connected");
+        }
+
+        @Override
+        public void closed(Exception cause) {
+            bound.cancel();
+            engines.ended();
+            waiter.down(String.valueOf(cause), true);
+        }
+    }
+
+    void release(EngineConnection c) {
+        if (retired) {
+            c.abandon();
+        } else {
+            idle.addLast(new Idle(c, loop.now()));
+        }
+    }
+
+    void closed(EngineConnection c) {
+        idle.removeIf(i -> i.connection == c);
+        engines.ended();
+    }
+
+    /** Closes what has been idle for long. */
+    void retireIdle() {
+        Instant oldest = loop.now().minus(engines.idleMost());
+        for (Iterator<Idle> i = idle.iterator(); i.hasNext();) {
+            Idle next = i.next();
+            if (!next.since.isBefore(oldest)) {
+                return;
+            }
+            i.remove();
+            next.connection.abandon();
+        }
+    }
+
+    void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.pollLast().connection.abandon();
+        }
+    }
+
+    /** The engine is gone: what is out may end, and nothing is kept. */
+    void retire() {
+        retired = true;
+        closeIdle();
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/http/Engines.java
@@ -0,0 +1,98 @@
+package sandpaddle.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import sandpaddle.net.Loop;
+
+/** All engines that were ever listed, by id, with what their connections share. */
+public final class Engines {
+    /** Idle connections end after this part of the time after which an engine closes them. */
+    private static final double IDLE_PART = 0.6;
+    private static final Duration SWEEP = Duration.ofSeconds(1);
+
+    private static final class Entry {
+        private EnginePool pool;
+        private boolean up;
+    }
+
+    private final Loop loop;
+    private final Duration connectTimeout, idleMost;
+    private final int mostConnections;
+    private final Map<String, Entry> entries = new HashMap<>();
+    private int connections;
+
+    public Engines(Loop loop, Duration connectTimeout, Duration engineIdle, int mostConnections) {
+        this.loop = loop;
+        this.connectTimeout = connectTimeout;
+        this.mostConnections = mostConnections;
+        idleMost = Duration.ofMillis((long) (engineIdle.toMillis() * IDLE_PART));
+        sweep();
+    }
+
+    private void sweep() {
+        entries.values().forEach(e -> e.pool.retireIdle());
+        loop.after(SWEEP, this::sweep);
+    }
+
+    /** The list's word on an engine. */
+    public void listed(String id, InetSocketAddress address, boolean up, boolean gone) {
+        Entry e = entries.computeIfAbsent(id, k -> new Entry());
+        if (e.pool == null || !e.pool.address().equals(address)) {
+            if (e.pool != null) {
+                e.pool.retire();
+            }
+            e.pool = new EnginePool(loop, this, address);
+        }
+        e.up = up;
+        if (gone) {
+            e.pool.closeIdle();
+        }
+    }
+
+    /** Whether the list allows new work on it. */
+    public boolean isUp(String id) {
+        Entry e = entries.get(id);
+        return e != null && e.up;
+    }
+
+    EnginePool pool(String id) {
+        return entries.get(id).pool;
+    }
+
+    /** Begins an attempt; its end is told in this call or later, once. */
+    public Attempt start(String engine, AttemptOrder order, Attempt.Listener listener) {
+        return new Attempt(loop, this, engine, order, listener);
+    }
+
+    /** Asks an engine for its load. */
+    public void probe(String engine, Consumer<ProbeEnd> told) {
+        new Probe(loop, pool(engine), connectTimeout, told).start();
+    }
+
+    Duration connectTimeout() {
+        return connectTimeout;
+    }
+
+    Duration idleMost() {
+        return idleMost;
+    }
+
+    /** Guards the limit on descriptors: idle connections make room before an attempt goes without one. */
+    boolean mayOpen() {
+        if (connections >= mostConnections) {
+            entries.values().forEach(e -> e.pool.closeIdle());
+        }
+        return connections < mostConnections;
+    }
+
+    void opened() {
+        connections++;
+    }
+
+    void ended() {
+        connections--;
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/mysql/Frontend.java
@@ -0,0 +1,76 @@
+package sandpaddle.mysql;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import sandpaddle.net.Acceptor;
+import sandpaddle.net.Connection;
+import sandpaddle.net.Loop;
+import sandpaddle.serve.QueryService;
+
+/** Listens for clients of the MySQL protocol and keeps their sessions by connection id. */
+public final class Frontend {
+    static final String USER = "app";
+    static final String DATABASE = "core";
+    private static final int SCRAMBLE = 20;
+
+    private final Loop loop;
+    private final QueryService service;
+    private final SplittableRandom random;
+    private final Map<Integer, Session> sessions = new HashMap<>();
+    private final Acceptor acceptor;
+    private int lastId;
+
+    public Frontend(Loop loop, InetSocketAddress address, QueryService service, long seed) throws IOException {
+        this.loop = loop;
+        this.service = service;
+        random = new SplittableRandom(seed);
+        acceptor = new Acceptor(loop, address, this::accepted);
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return acceptor.address();
+    }
+
+    QueryService service() {
+        return service;
+    }
+
+    Session session(int id) {
+        return sessions.get(id);
+    }
+
+    private void accepted(Connection c) {
+        Session s = new Session(this, loop, c, ++lastId);
+        c.owner(s);
+        sessions.put(s.id, s);
+        c.write(Messages.greeting(s.id, random.ints(SCRAMBLE, 1, 128)
+                .collect(java.io.ByteArrayOutputStream::new, (o, b) -> o.write(b), (a, b) -> { }).toByteArray()));
+    }
+
+    void ended(Session s) {
+        sessions.remove(s.id);
+    }
+
+    /** No new connections; those without an open query are closed. */
+    public void stopListening() {
+        acceptor.close();
+        closeIdle();
+    }
+
+    public void closeIdle() {
+        for (Session s : List.copyOf(sessions.values())) {
+            if (s.isIdle()) {
+                s.closeIdle();
+            }
+        }
+    }
+
+    /** Whether every answer has left. */
+    public boolean isIdle() {
+        return sessions.values().stream().allMatch(Session::isIdle);
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/mysql/ProtocolException.java
@@ -0,0 +1,10 @@
+package sandpaddle.mysql;
+
+/** Broken framing: it ends the connection that sent it, and no other. */
+final class ProtocolException extends Exception {
+    private static final long serialVersionUID = 1;
+
+    ProtocolException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/mysql/Session.java
@@ -0,0 +1,223 @@
+package sandpaddle.mysql;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import org.tinylog.Logger;
+import sandpaddle.net.Connection;
+import sandpaddle.net.Loop;
+import sandpaddle.net.Timers;
+import sandpaddle.serve.Answer;
+import sandpaddle.serve.QueryService;
+
+/** One client's connection: login, then one command at a time. */
+final class Session implements Connection.Owner {
+    private static final int COM_QUIT = 1;
+    private static final int COM_INIT_DB = 2;
+    private static final int COM_QUERY = 3;
+    private static final int COM_PROCESS_KILL = 12;
+    private static final int COM_PING = 14;
+    private static final int COM_RESET_CONNECTION = 31;
+    /** A client that does not read its answer for so long holds memory for nothing. */
+    private static final Duration STALLED = Duration.ofSeconds(30);
+
+    private final Frontend frontend;
+    private final Loop loop;
+    private final Connection connection;
+    private final PacketReader packets = new PacketReader();
+    final int id;
+    private boolean loggedIn, handling;
+    private int open; // the number of the open query, so that a late answer finds nobody
+    private QueryService.Ticket ticket;
+    private boolean busy;
+    private Timers.Timer stall;
+
+    Session(Frontend frontend, Loop loop, Connection connection, int id) {
+        this.frontend = frontend;
+        this.loop = loop;
+        this.connection = connection;
+        this.id = id;
+    }
+
+    boolean isIdle() {
+        return !busy && connection.unsent() == 0;
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        packets.feed(bytes);
+        handle();
+    }
+
+    /** Handles what is buffered, up to a query; its answer goes on with the rest. */
+    private void handle() {
+        if (handling) {
+            return; // an answer given within submit: the loop below goes on
+        }
+        handling = true;
+        try {
+            for (PacketReader.Packet p = busy ? null : packets.next(); p != null; p = busy ? null : packets.next()) {
+                packet(p);
+            }
+        } catch (ProtocolException e) {
+            Logger.info("session {} ends: {}", id, e.getMessage());
+            leave();
+            send(Messages.error(1, SqlError.ER_NET_PACKET_TOO_LARGE, e.getMessage()));
+            connection.closeWhenFlushed();
+            frontend.ended(this);
+        } finally {
+            handling = false;
+        }
+        // a client that sends on while its query is open has its writes wait, beyond one packet
+        connection.reading(!busy || packets.buffered() <= PacketReader.MOST_BYTES);
+    }
+
+    private void packet(PacketReader.Packet p) throws ProtocolException {
+        if (!loggedIn) {
+            logIn(p);
+            return;
+        }
+        if (p.seq() != 0 || p.payload().length == 0) {
+            throw new ProtocolException("expected a command");
+        }
+        String rest = new String(p.payload(), 1, p.payload().length - 1, StandardCharsets.UTF_8);
+        switch (p.payload()[0]) {
+            case COM_QUIT -> {
+                connection.close();
+                frontend.ended(this);
+            }
+            case COM_PING, COM_RESET_CONNECTION -> send(Messages.ok(1));
+            case COM_INIT_DB -> send(rest.equals(Frontend.DATABASE) ? Messages.ok(1)
+                    : Messages.error(1, SqlError.ER_BAD_DB_ERROR, "Unknown database '" + rest + "'"));
+            case COM_QUERY -> query(Arrays.copyOfRange(p.payload(), 1, p.payload().length));
+            case COM_PROCESS_KILL -> {
+                byte[] b = Arrays.copyOf(p.payload(), 5);
+                kill(new Statement.Kill(false,
+                        b[1] & 0xFF | (b[2] & 0xFF) << 8 | (b[3] & 0xFF) << 16 | (b[4] & 0xFF) << 24));
+            }
+            default -> send(Messages.error(1, SqlError.ER_UNKNOWN_COM_ERROR, "Unknown command"));
+        }
+    }
+
+    private void logIn(PacketReader.Packet p) throws ProtocolException {
+        Login login = Login.parse(p.payload());
+        int seq = p.seq() + 1;
+        if (!login.user().equals(Frontend.USER) || !login.passwordEmpty()) {
+            send(Messages.error(seq, SqlError.ER_ACCESS_DENIED_ERROR, "Access denied for user '" + login.user() + "'"));
+            connection.closeWhenFlushed();
+            frontend.ended(this);
+        } else if (!login.database().isEmpty() && !login.database().equals(Frontend.DATABASE)) {
+            send(Messages.error(seq, SqlError.ER_BAD_DB_ERROR, "Unknown database '" + login.database() + "'"));
+            connection.closeWhenFlushed();
+            frontend.ended(this);
+        } else {
+            loggedIn = true;
+            send(Messages.ok(seq));
+        }
+    }
+
+    private void query(byte[] text) {
+        Statement statement = Statement.parse(text);
+        if (statement instanceof Statement.Kill k) {
+            kill(k);
+        } else if (statement instanceof Statement.Nothing) {
+            send(Messages.ok(1));
+        } else if (statement instanceof Statement.Unusable u) {
+            send(Messages.error(1, SqlError.ER_PARSE_ERROR, u.why()));
+        } else if (statement instanceof Statement.Ask ask) {
+            busy = true;
+            int number = ++open;
+            QueryService.Ticket t = frontend.service().submit(ask.query(), a -> answer(number, a));
+            ticket = busy && number == open ? t : null;
+        }
+    }
+
+    /** Guards against a second answer to one query: only the number that is open is heard, and only once. */
+    private void answer(int number, Answer answer) {
+        if (!busy || number != open) {
+            return;
+        }
+        busy = false;
+        ticket = null;
+        if (answer instanceof Answer.Served s) {
+            send(Messages.resultSet(1, s.rows()));
+        } else if (answer instanceof Answer.Refused r) {
+            send(Messages.error(1, SqlError.ER_TOO_MANY_USER_CONNECTIONS,
+                    r.pause().isZero() ? "refused" : "refused, pause=" + r.pause().toMillis()));
+        } else if (answer instanceof Answer.Failed f) {
+            send(Messages.error(1, SqlError.ER_UNKNOWN_ERROR, "failed: " + f.why()));
+        } else if (answer instanceof Answer.Invalid i) {
+            send(Messages.error(1, SqlError.ER_PARSE_ERROR, i.why()));
+        }
+        handle();
+    }
+
+    private void kill(Statement.Kill kill) {
+        Session other = frontend.session(kill.connectionId());
+        if (other == null) {
+            send(Messages.error(1, SqlError.ER_NO_SUCH_THREAD, "Unknown thread id: " + kill.connectionId()));
+            return;
+        }
+        if (kill.queryOnly()) {
+            other.interrupt();
+            send(Messages.ok(1));
+        } else {
+            send(Messages.ok(1));
+            other.leave();
+            other.connection.closeWhenFlushed();
+            frontend.ended(other);
+        }
+    }
+
+    /** The client no longer waits, but its session lives. */
+    private void interrupt() {
+        if (busy) {
+            leave();
+            send(Messages.error(1, SqlError.ER_QUERY_INTERRUPTED, "Query execution was interrupted"));
+            handle();
+        }
+    }
+
+    private void leave() {
+        QueryService.Ticket t = ticket;
+        busy = false;
+        ticket = null;
+        open++;
+        if (t != null) {
+            t.leave();
+        }
+    }
+
+    private void send(byte[] bytes) {
+        connection.write(bytes);
+        if (connection.unsent() > 0 && stall == null) {
+            stall = loop.after(STALLED, () -> {
+                if (connection.unsent() > 0) {
+                    connection.broken(null);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void flushed() {
+        if (stall != null) {
+            stall.cancel();
+            stall = null;
+        }
+    }
+
+    /** Closes a session with no open query; a request that crosses this is sent again by its client. */
+    void closeIdle() {
+        connection.closeWhenFlushed();
+        frontend.ended(this);
+    }
+
+    @Override
+    public void closed(Exception cause) {
+        flushed();
+        leave();
+        frontend.ended(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/mysql/Statement.java
@@ -0,0 +1,87 @@
+package sandpaddle.mysql;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import sandpaddle.serve.Query;
+
+/** The text of a COM_QUERY: a KILL, or a statement with its fields in a comment before it. */
+sealed interface Statement {
+    record Kill(boolean queryOnly, int connectionId) implements Statement { }
+
+    record Ask(Query query) implements Statement { }
+
+    /** Session settings that drivers send by themselves: there is nothing to set. */
+    record Nothing() implements Statement { }
+
+    record Unusable(String why) implements Statement { }
+
+    Pattern KILL = Pattern.compile("\\s*KILL\\s+(?:(QUERY|CONNECTION)\\s+)?(\\d{1,9})\\s*;?\\s*",
+            Pattern.CASE_INSENSITIVE);
+    Pattern SET = Pattern.compile("\\s*SET\\s.*", Pattern.CASE_INSENSITIVE | Pattern.DOTALL);
+    Pattern TRACE = Pattern.compile("[0-9a-fA-F]{16}");
+    long MOST_MS = Duration.ofDays(1).toMillis();
+
+    static Statement parse(byte[] text) {
+        String s = new String(text, StandardCharsets.ISO_8859_1); // a char a byte: positions stay true
+        Matcher kill = KILL.matcher(s);
+        if (kill.matches()) {
+            return new Kill("QUERY".equalsIgnoreCase(kill.group(1)), Integer.parseInt(kill.group(2)));
+        }
+        SqlScanner scanner = new SqlScanner(s);
+        SqlScanner.Span comment = scanner.leadingComment("route=");
+        if (comment == null) {
+            return SET.matcher(s).matches() ? new Nothing() : new Unusable("no comment with the field 'route'");
+        }
+        Map<String, String> fields = new HashMap<>();
+        for (String pair : s.substring(comment.from() + 2, comment.to() - 2).split(",")) {
+            int eq = pair.indexOf('=');
+            if (eq > 0) {
+                fields.put(pair.substring(0, eq).strip(), pair.substring(eq + 1).strip());
+            }
+        }
+        String statement = s.substring(0, comment.from()) + s.substring(comment.to()).stripLeading();
+        return ask(fields, statement);
+    }
+
+    private static Statement ask(Map<String, String> fields, String statement) {
+        String trace = fields.getOrDefault("trace", "");
+        if (!TRACE.matcher(trace).matches()) {
+            return new Unusable("field 'trace' is not 16 hex digits");
+        }
+        double patience = number(fields, "patience", -1);
+        if (!(patience > 0 && patience <= MOST_MS)) {
+            return new Unusable("field 'patience' is not a number of milliseconds");
+        }
+        double weight = number(fields, "weight", 0);
+        if (!(weight >= 0 && weight <= MOST_MS)) {
+            return new Unusable("field 'weight' is not a number of milliseconds");
+        }
+        double memory = number(fields, "est_mb", 0);
+        if (!(memory >= 0 && memory < Integer.MAX_VALUE)) {
+            return new Unusable("field 'est_mb' is not a number of MB");
+        }
+        if (statement.isBlank()) {
+            return new Unusable("no statement after the fields");
+        }
+        return new Ask(new Query(fields.get("route"), trace, millis(patience), millis(weight), memory,
+                SqlScanner.tableGroup(statement), statement.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    private static Duration millis(double ms) {
+        return Duration.ofNanos(Math.round(ms * 1e6));
+    }
+
+    /** NaN where the field is there and is no number. */
+    private static double number(Map<String, String> fields, String name, double otherwise) {
+        String text = fields.get(name);
+        try {
+            return text == null ? otherwise : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/net/Acceptor.java
@@ -0,0 +1,64 @@
+package sandpaddle.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
+
+/** A listening socket; every connection that it accepts goes to one place. */
+public final class Acceptor implements Loop.Handler {
+    private static final int BACKLOG = 512;
+    private static final Duration REST = Duration.ofMillis(20); // after a failed accept: descriptors may run out
+
+    private final Loop loop;
+    private final ServerSocketChannel channel;
+    private final SelectionKey key;
+    private final Consumer<Connection> taker;
+
+    public Acceptor(Loop loop, InetSocketAddress address, Consumer<Connection> taker) throws IOException {
+        this.loop = loop;
+        this.taker = taker;
+        channel = ServerSocketChannel.open();
+        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        channel.bind(address, BACKLOG);
+        key = loop.register(channel, SelectionKey.OP_ACCEPT, this);
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) channel.getLocalAddress();
+    }
+
+    @Override
+    public void ready(SelectionKey ready) throws IOException {
+        for (SocketChannel c = channel.accept(); c != null; c = channel.accept()) {
+            taker.accept(Connection.accepted(loop, c));
+        }
+    }
+
+    /** Guards against a spinning loop where no descriptor is left: listening goes on a little later. */
+    @Override
+    public void broken(Exception cause) {
+        Logger.warn("cannot accept: {}", cause.toString());
+        if (key.isValid()) {
+            key.interestOps(0);
+            loop.after(REST, () -> {
+                if (key.isValid()) {
+                    key.interestOps(SelectionKey.OP_ACCEPT);
+                }
+            });
+        }
+    }
+
+    public void close() {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            Logger.warn("cannot close the listening socket: {}", e.toString());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/net/Connection.java
@@ -0,0 +1,199 @@
+package sandpaddle.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+
+/**
+ * One TCP connection of the loop. What is written is kept until the socket takes it; {@link #unsent()} tells
+ * how much that is, and {@link #startedSending()} whether any byte of it may have left.
+ */
+public final class Connection implements Loop.Handler {
+    /** What a connection tells its owner; nothing follows {@link #closed}. */
+    public interface Owner {
+        default void connected() {
+        }
+
+        void received(ByteBuffer bytes);
+
+        /** All that was written has left. */
+        default void flushed() {
+        }
+
+        /** The other side closed, or the connection broke. Not called for an own {@link #close}. */
+        void closed(Exception cause);
+    }
+
+    private final Loop loop;
+    private final SocketChannel channel;
+    private final SelectionKey key;
+    private final ArrayDeque<ByteBuffer> outbound = new ArrayDeque<>();
+    private Owner owner;
+    private boolean reading = true, up, sent, closed, closeWhenFlushed;
+    private long unsent;
+
+    private Connection(Loop loop, SocketChannel channel, Owner owner, boolean up) throws IOException {
+        this.loop = loop;
+        this.channel = channel;
+        this.owner = owner;
+        this.up = up;
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        key = loop.register(channel, up ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
+    }
+
+    /** A connection that was accepted; the owner is set before the first read. */
+    static Connection accepted(Loop loop, SocketChannel channel) throws IOException {
+        return new Connection(loop, channel, null, true);
+    }
+
+    /** Begins to connect; the owner hears of the end in a later turn, or this throws at once. */
+    public static Connection open(Loop loop, InetSocketAddress address, Owner owner) throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        try {
+            channel.configureBlocking(false);
+            channel.connect(address);
+            return new Connection(loop, channel, owner, false);
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e instanceof IOException io ? io : new IOException(e);
+        }
+    }
+
+    public void owner(Owner next) {
+        owner = next;
+    }
+
+    public boolean isUp() {
+        return up && !closed;
+    }
+
+    public long unsent() {
+        return unsent;
+    }
+
+    /** Whether any byte was handed to the socket since this was last cleared. */
+    public boolean startedSending() {
+        return sent;
+    }
+
+    public void clearStartedSending() {
+        sent = false;
+    }
+
+    /** Whether reads are wanted: off, the other side's writes come to wait. */
+    public void reading(boolean on) {
+        reading = on;
+        interest();
+    }
+
+    public void write(byte[] bytes) {
+        if (closed) {
+            return;
+        }
+        outbound.add(ByteBuffer.wrap(bytes));
+        unsent += bytes.length;
+        try {
+            send();
+        } catch (IOException e) {
+            broken(e);
+        }
+    }
+
+    /** Closes once all that was written has left. */
+    public void closeWhenFlushed() {
+        closeWhenFlushed = true;
+        if (unsent == 0) {
+            close();
+        }
+    }
+
+    public void close() {
+        if (!closed) {
+            closed = true;
+            outbound.clear();
+            key.cancel();
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // nothing is left to be done for it
+            }
+        }
+    }
+
+    /** For a pooled connection: whether the other side has closed it, or sent what nobody asked for. */
+    public boolean isStale() {
+        if (closed) {
+            return true;
+        }
+        try {
+            return channel.read(loop.scratch()) != 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    @Override
+    public void ready(SelectionKey ready) throws IOException {
+        if (ready.isConnectable()) {
+            channel.finishConnect();
+            up = true;
+            interest();
+            owner.connected();
+            return;
+        }
+        if (ready.isReadable() && reading) {
+            ByteBuffer buffer = loop.scratch();
+            int n = channel.read(buffer);
+            if (n > 0) {
+                owner.received(buffer.flip());
+            } else if (n < 0) {
+                broken(null);
+            }
+        }
+        if (!closed && ready.isWritable()) {
+            send();
+        }
+    }
+
+    @Override
+    public void broken(Exception cause) {
+        if (!closed) {
+            close();
+            owner.closed(cause);
+        }
+    }
+
+    private void send() throws IOException {
+        if (!up) {
+            return;
+        }
+        boolean before = unsent > 0;
+        while (!outbound.isEmpty()) {
+            ByteBuffer first = outbound.peek();
+            sent = true; // set before the write: once it was tried, a byte may have left
+            unsent -= channel.write(first);
+            if (first.hasRemaining()) {
+                break;
+            }
+            outbound.poll();
+        }
+        interest();
+        if (before && unsent == 0) {
+            owner.flushed();
+            if (closeWhenFlushed) {
+                close();
+            }
+        }
+    }
+
+    private void interest() {
+        if (key.isValid()) {
+            key.interestOps(!up ? SelectionKey.OP_CONNECT
+                    : (reading ? SelectionKey.OP_READ : 0) | (unsent > 0 ? SelectionKey.OP_WRITE : 0));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/net/Loop.java
@@ -0,0 +1,115 @@
+package sandpaddle.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import org.tinylog.Logger;
+
+/**
+ * The one thread's loop. Each turn it gathers what is ready and what is due, then runs the task that hands
+ * all of it on. What a turn leaves undone is asked for with {@link #again()}.
+ */
+public final class Loop {
+    /** What a ready channel calls. */
+    public interface Handler {
+        void ready(SelectionKey key) throws IOException;
+
+        /** Called where {@link #ready} threw: the fault stops here, and only this channel ends. */
+        void broken(Exception cause);
+    }
+
+    private static final int READ_BYTES = 64 * 1024;
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(1);
+
+    private final Selector selector;
+    private final UnixClock clock;
+    private final Timers timers = new Timers();
+    private final ByteBuffer scratch = ByteBuffer.allocateDirect(READ_BYTES);
+    private Instant now;
+    private boolean again, stopped;
+
+    public Loop(Clock system) throws IOException {
+        selector = Selector.open();
+        clock = new UnixClock(system);
+        now = clock.now();
+    }
+
+    /** The time of this turn. */
+    public Instant now() {
+        return now;
+    }
+
+    public Timers.Timer after(Duration span, Runnable task) {
+        return timers.at(now.plus(span), task);
+    }
+
+    public Timers.Timer at(Instant at, Runnable task) {
+        return timers.at(at, task);
+    }
+
+    /** One buffer for all reads: a connection takes what it has read out of it before it returns. */
+    ByteBuffer scratch() {
+        return scratch.clear();
+    }
+
+    SelectionKey register(SelectableChannel channel, int ops, Handler handler) throws IOException {
+        channel.configureBlocking(false);
+        return channel.register(selector, ops, handler);
+    }
+
+    /** The next turn does not wait. */
+    public void again() {
+        again = true;
+    }
+
+    public void stop() {
+        stopped = true;
+    }
+
+    /** From any thread. */
+    public void wakeUp() {
+        selector.wakeup();
+    }
+
+    /** Runs until stopped; {@code handOn} is called at the end of each turn. */
+    public void run(Runnable handOn) throws IOException {
+        while (!stopped) {
+            turn(handOn, LONGEST_WAIT);
+        }
+        selector.close();
+    }
+
+    /** One turn, which waits no longer than told. */
+    public void turn(Runnable handOn, Duration longest) throws IOException {
+        now = clock.now();
+        long waitUs = again ? 0 : timers.untilNext(now, longest).toNanos() / 1000;
+        again = false;
+        if (waitUs <= 0) {
+            selector.selectNow();
+        } else {
+            selector.select((waitUs + 999) / 1000); // rounded up: a timer never runs early
+        }
+        now = clock.now();
+        for (SelectionKey key : selector.selectedKeys()) {
+            Handler handler = (Handler) key.attachment();
+            if (key.isValid()) {
+                try {
+                    handler.ready(key);
+                } catch (IOException | RuntimeException e) {
+                    if (e instanceof RuntimeException) {
+                        Logger.error(e, "a connection failed unexpectedly");
+                    }
+                    handler.broken(e);
+                }
+            }
+        }
+        selector.selectedKeys().clear();
+        timers.run(now);
+        handOn.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/net/UnixClock.java
@@ -0,0 +1,22 @@
+package sandpaddle.net;
+
+import java.time.Clock;
+import java.time.Instant;
+
+/** The system's Unix time, except that it never goes back. */
+public final class UnixClock {
+    private final Clock system;
+    private Instant last = Instant.EPOCH;
+
+    public UnixClock(Clock system) {
+        this.system = system;
+    }
+
+    public Instant now() {
+        Instant now = system.instant();
+        if (now.isAfter(last)) {
+            last = now;
+        }
+        return last;
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/serve/Answer.java
@@ -0,0 +1,18 @@
+package sandpaddle.serve;
+
+import java.time.Duration;
+
+/** The one final answer to a query; each frontend words it in its own protocol. */
+public sealed interface Answer {
+    /** All rows of the result. */
+    record Served(ResultSet rows) implements Answer { }
+
+    /** Trying again is harmless; {@code pause} is how long to stay away, zero where no advice is given. */
+    record Refused(Duration pause) implements Answer { }
+
+    /** It may have run. */
+    record Failed(String why) implements Answer { }
+
+    /** It could not be understood, and was not taken. */
+    record Invalid(String why) implements Answer { }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -0,0 +1,306 @@
+package sandpaddle.serve;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
+import sandpaddle.config.ListEvent;
+import sandpaddle.config.Names;
+import sandpaddle.decide.Gateway;
+import sandpaddle.http.Attempt;
+import sandpaddle.http.AttemptEnd;
+import sandpaddle.http.AttemptOrder;
+import sandpaddle.http.Engines;
+import sandpaddle.http.ProbeEnd;
+import sandpaddle.net.Loop;
+
+/**
+ * Joins frontends and engines through the decision module. What happens is gathered as the module's events;
+ * {@link #handOn()} gives them to the module in one go, then carries out its actions in order.
+ */
+public final class Dispatcher implements QueryService {
+    /** Guards the rule of one answer in time, should the module ever say nothing: well inside its slack. */
+    private static final Duration OVERDUE = Duration.ofMillis(8);
+
+    private final Loop loop;
+    private final Gateway module;
+    private final Gateway.Settings settings;
+    private final Names names;
+    private final Engines engines;
+    private final Map<String, Exchange> exchanges = new HashMap<>();
+    private final Set<String> traces = new HashSet<>();
+    private final List<Exchange> left = new ArrayList<>();
+    private List<Gateway.Event> events = new ArrayList<>();
+    private boolean listSeen;
+    private long serial;
+
+    public Dispatcher(Loop loop, Gateway module, Gateway.Settings settings, Names names, Engines engines) {
+        this.loop = loop;
+        this.module = module;
+        this.settings = settings;
+        this.names = names;
+        this.engines = engines;
+    }
+
+    // ---- What happens.
+
+    /** A change of the engine list; it counts as told from here on. */
+    public void listed(ListEvent change) {
+        List<Gateway.EngineEntry> entries = new ArrayList<>();
+        for (ListEvent.Host h : change.hosts()) {
+            Gateway.Status status = h.entry().status();
+            engines.listed(h.entry().id(), h.address(), status == Gateway.Status.UP, status == Gateway.Status.GONE);
+            entries.add(h.entry());
+        }
+        Gateway.ListKind kind = !change.whole() ? Gateway.ListKind.CHANGES
+                : listSeen ? Gateway.ListKind.FULL : Gateway.ListKind.CACHED;
+        listSeen = true;
+        tell(new Gateway.EngineList(kind, entries));
+    }
+
+    @Override
+    public Ticket submit(Query query, Consumer<Answer> answer) {
+        int cls = names.routes().indexOf(query.route());
+        if (cls < 0) {
+            answer.accept(new Answer.Invalid("unknown route '" + query.route() + "'"));
+            return () -> { };
+        }
+        if (exchanges.size() >= settings.limits().maxHeld()) {
+            answer.accept(new Answer.Refused(Duration.ZERO));
+            return () -> { };
+        }
+        if (!traces.add(query.trace())) { // an engine knows a query by its trace alone
+            answer.accept(new Answer.Invalid("trace " + query.trace() + " is that of an open query"));
+            return () -> { };
+        }
+        Exchange x = new Exchange(query.trace() + "-" + serial++, query, cls, loop.now().plus(query.patience()), answer);
+        exchanges.put(x.id, x);
+        x.overdue = loop.at(x.expiresAt.plus(OVERDUE), () -> overdue(x));
+        tell(new Gateway.Request(x.id, cls, null, Micros.of(query.patience()), Micros.of(query.work()),
+                query.memoryMb(), query.tableGroup(), false));
+        return () -> leave(x);
+    }
+
+    private void leave(Exchange x) {
+        if (!x.isOver()) {
+            x.close();
+            left.add(x);
+            tell(new Gateway.ClientLeft(x.id));
+        }
+    }
+
+    private void overdue(Exchange x) {
+        Logger.warn("no decision on {} in time", x.id);
+        x.answer(given(x, Duration.ZERO));
+        left.add(x);
+        tell(new Gateway.ClientLeft(x.id));
+    }
+
+    /** The final answer to what nobody goes on with: a refusal only where that is harmless. */
+    private Answer given(Exchange x, Duration pause) {
+        boolean safe = settings.classes().get(x.cls).effect() == Gateway.Effect.SAFE;
+        return safe || !x.mayHaveRun && x.out == null ? new Answer.Refused(pause) : new Answer.Failed("given up");
+    }
+
+    /** Gives every open query its final answer now: the process is about to end. */
+    public void endAll() {
+        for (Exchange x : List.copyOf(exchanges.values())) {
+            if (!x.isOver()) {
+                x.answer(given(x, Duration.ZERO));
+                left.add(x);
+                tell(new Gateway.ClientLeft(x.id));
+            }
+        }
+    }
+
+    public boolean isIdle() {
+        return exchanges.isEmpty();
+    }
+
+    private void tell(Gateway.Event event) {
+        events.add(event);
+        loop.again();
+    }
+
+    // ---- What the module makes of it.
+
+    /** Called at the end of each turn. */
+    public void handOn() {
+        if (events.isEmpty()) {
+            return;
+        }
+        List<Gateway.Event> batch = events;
+        events = new ArrayList<>();
+        List<Gateway.Action> actions = new ArrayList<>();
+        long now = Micros.of(loop.now());
+        for (Gateway.Event e : batch) {
+            try {
+                module.on(now, e, actions::add);
+            } catch (RuntimeException fault) {
+                Logger.error(fault, "the module failed on {}", e);
+            }
+        }
+        actions.forEach(this::carryOut);
+        List<Exchange> gone = List.copyOf(left);
+        left.clear();
+        gone.forEach(x -> {
+            if (x.out != null) {
+                x.out.cancel(true);
+            }
+            tidy(x);
+        });
+    }
+
+    private void carryOut(Gateway.Action action) {
+        if (action instanceof Gateway.Send a) {
+            send(a);
+        } else if (action instanceof Gateway.SetTerms a) {
+            terms(a);
+        } else if (action instanceof Gateway.Refuse a) {
+            answer(a.id(), new Answer.Refused(Micros.span(a.retryAfterUs())));
+        } else if (action instanceof Gateway.Fail a) {
+            answer(a.id(), new Answer.Failed("no answer in time"));
+        } else if (action instanceof Gateway.Cancel a) {
+            Exchange x = exchanges.get(a.id());
+            if (x != null && x.out != null && x.attempts - 1 == a.attempt()) {
+                x.out.cancel(x.isOver());
+            }
+        } else if (action instanceof Gateway.Probe a) {
+            probe(a.engine());
+        } else if (action instanceof Gateway.SetTimer a) {
+            loop.at(Micros.instant(a.atUs()), () -> tell(new Gateway.Timer(a.token())));
+        } else if (action instanceof Gateway.Log a) {
+            Logger.info(a.text());
+        } // there are no peers to tell, and the list comes without being asked for
+    }
+
+    private void answer(String id, Answer answer) {
+        Exchange x = exchanges.get(id);
+        if (x != null) {
+            x.answer(answer);
+            tidy(x);
+        }
+    }
+
+    private void terms(Gateway.SetTerms a) {
+        Exchange x = exchanges.get(a.id());
+        if (x != null) {
+            if (x.out != null && x.priority != a.priority()) {
+                x.out.priority(a.priority());
+            }
+            x.priority = a.priority();
+            x.memoryMb = a.memoryMb();
+        }
+    }
+
+    /** Guards against a send for a request that ended in the turn in which the module decided on it. */
+    private void send(Gateway.Send a) {
+        Exchange x = exchanges.get(a.id());
+        if (x == null) {
+            return;
+        }
+        int number = x.attempts++;
+        Instant now = loop.now();
+        if (x.isOver() || x.out != null || number >= settings.limits().maxAttempts() || !now.isBefore(x.expiresAt)) {
+            outcome(x, number, a.engine(), Gateway.Result.MOOT, Duration.ZERO, null);
+            return;
+        }
+        Instant until = a.timeoutUs() == 0 ? x.expiresAt : now.plus(Micros.span(a.timeoutUs()));
+        boolean last = !until.isBefore(x.expiresAt);
+        AttemptOrder order = new AttemptOrder(x.query.trace(), x.query.route(), x.query.statement(), x.memoryMb,
+                x.priority, last ? x.expiresAt : until, last);
+        boolean[] ended = new boolean[1];
+        Attempt begun = engines.start(a.engine(), order, new Attempt.Listener() {
+            @Override
+            public void note(String topic, double value) {
+                Gateway.Topic t = topic(topic);
+                if (t != null) {
+                    tell(new Gateway.Note(x.id, number, t, value));
+                }
+            }
+
+            @Override
+            public void ended(AttemptEnd end) {
+                ended[0] = true;
+                x.out = null;
+                Dispatcher.this.ended(x, number, a.engine(), end, Duration.between(now, loop.now()));
+            }
+        });
+        x.out = ended[0] ? null : begun;
+    }
+
+    private static Gateway.Topic topic(String name) {
+        return switch (name) {
+            case "frac" -> Gateway.Topic.PROGRESS;
+            case "missing" -> Gateway.Topic.SPILL;
+            case "parked" -> Gateway.Topic.WAIT;
+            default -> null;
+        };
+    }
+
+    private void ended(Exchange x, int number, String engine, AttemptEnd end, Duration elapsed) {
+        String stats = null;
+        Gateway.Result result;
+        if (end instanceof AttemptEnd.Done d) {
+            result = Gateway.Result.OK;
+            stats = d.stats();
+            x.answer(new Answer.Served(d.rows()));
+        } else if (end instanceof AttemptEnd.Declined d) {
+            result = Gateway.Result.FULL;
+            stats = d.stats();
+        } else if (end instanceof AttemptEnd.Lapsed l) {
+            result = Gateway.Result.MOOT;
+            stats = l.stats();
+        } else if (end instanceof AttemptEnd.NotSent) {
+            result = Gateway.Result.MOOT;
+        } else if (end instanceof AttemptEnd.NotConnected) {
+            result = Gateway.Result.CONNECT_FAILED;
+        } else if (end instanceof AttemptEnd.Errored e) {
+            result = Gateway.Result.ERROR;
+            stats = e.stats();
+        } else if (end instanceof AttemptEnd.Broken) {
+            result = Gateway.Result.RESET;
+        } else if (end instanceof AttemptEnd.TimedOut) {
+            result = Gateway.Result.TIMEOUT;
+        } else {
+            result = Gateway.Result.CANCELLED;
+        }
+        x.mayHaveRun |= !result.neverRan();
+        outcome(x, number, engine, result, elapsed, stats);
+        tidy(x);
+    }
+
+    private void outcome(Exchange x, int number, String engine, Gateway.Result result, Duration elapsed, String stats) {
+        tell(new Gateway.Outcome(x.id, number, engine, result, x.isOver(), Micros.of(elapsed), 0, 0,
+                Stats.read(stats, names.reportFields())));
+    }
+
+    private void probe(String engine) {
+        Instant from = loop.now();
+        engines.probe(engine, end -> tell(new Gateway.ProbeResult(engine, result(end.kind()),
+                Micros.of(Duration.between(from, loop.now())), Stats.read(end.stats(), names.reportFields()))));
+    }
+
+    private static Gateway.Result result(ProbeEnd.Kind kind) {
+        return switch (kind) {
+            case WELL -> Gateway.Result.OK;
+            case UNWELL -> Gateway.Result.ERROR;
+            case NOT_CONNECTED -> Gateway.Result.CONNECT_FAILED;
+            case BROKEN -> Gateway.Result.RESET;
+            case TIMED_OUT -> Gateway.Result.TIMEOUT;
+        };
+    }
+
+    /** Forgets a query that is over with nothing out. */
+    private void tidy(Exchange x) {
+        if (x.isOver() && x.out == null && exchanges.remove(x.id) != null) {
+            traces.remove(x.query.trace());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/serve/Exchange.java
@@ -0,0 +1,54 @@
+package sandpaddle.serve;
+
+import java.time.Instant;
+import java.util.function.Consumer;
+import sandpaddle.http.Attempt;
+import sandpaddle.net.Timers;
+
+/**
+ * A query that was taken, until its final answer has been given and no attempt is out. The way to the client
+ * is given up with the first answer, so a second one has nowhere to go.
+ */
+final class Exchange {
+    final String id;
+    final Query query;
+    final int cls;
+    final Instant expiresAt;
+    int attempts; // begun so far
+    int priority = 1;
+    double memoryMb;
+    boolean mayHaveRun;
+    Attempt out;
+    Timers.Timer overdue;
+    private Consumer<Answer> client;
+
+    Exchange(String id, Query query, int cls, Instant expiresAt, Consumer<Answer> client) {
+        this.id = id;
+        this.query = query;
+        this.cls = cls;
+        this.expiresAt = expiresAt;
+        this.client = client;
+    }
+
+    boolean isOver() {
+        return client == null;
+    }
+
+    /** Gives the final answer, if it is still owed. */
+    void answer(Answer answer) {
+        Consumer<Answer> to = close();
+        if (to != null) {
+            to.accept(answer);
+        }
+    }
+
+    /** No answer is owed any more. */
+    Consumer<Answer> close() {
+        Consumer<Answer> to = client;
+        client = null;
+        if (overdue != null) {
+            overdue.cancel();
+        }
+        return to;
+    }
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/serve/QueryService.java
@@ -0,0 +1,15 @@
+package sandpaddle.serve;
+
+import java.util.function.Consumer;
+
+/** What stands behind every frontend. */
+public interface QueryService {
+    /** A query that was taken. */
+    interface Ticket {
+        /** The client no longer waits: no answer follows. */
+        void leave();
+    }
+
+    /** Takes a query; the answer comes once, in this call or in a later turn of the loop. */
+    Ticket submit(Query query, Consumer<Answer> answer);
+}
--- /dev/null
+++ b/src/main/java/sandpaddle/serve/ResultSet.java
@@ -0,0 +1,24 @@
+package sandpaddle.serve;
+
+import java.util.List;
+
+/** Pages of whole rows as text: three cells separated by a tab, each row followed by a line feed. */
+public record ResultSet(List<byte[]> pages) {
+    public static final int COLUMNS = 3;
+
+    /** Whether a page holds whole rows only, each of as many cells as a row has. */
+    public static boolean isWhole(byte[] page) {
+        int tabs = 0;
+        for (byte b : page) {
+            if (b == '\t') {
+                tabs++;
+            } else if (b == '\n') {
+                if (tabs != COLUMNS - 1) {
+                    return false;
+                }
+                tabs = 0;
+            }
+        }
+        return tabs == 0 && (page.length == 0 || page[page.length - 1] == '\n');
+    }
+}
