--- /dev/null
+++ b/Makefile
@@ -0,0 +1,13 @@
+.PHONY: build test lint run
+
+build:
+	mvn -B -q -DskipTests package
+
+test:
+	mvn -B verify
+
+lint:
+	mvn -B -q compile checkstyle:check
+
+run: build
+	BALANCER_CONFIG=examples/config.json java -jar target/sandpaddle.jar serve
--- a/src/main/java/sandpaddle/config/Config.java
+++ b/src/main/java/sandpaddle/config/Config.java
@@ -35,7 +35,8 @@
         }
     }
 
-    static Config read(Row all) throws FieldException {
+    /** Reads the whole configuration from its JSON object. */
+    public static Config read(Row all) throws FieldException {
         Row settings = all.row("settings");
         Names names = Names.read(settings);
         Row known = all.rowOr("known");
--- a/src/main/java/sandpaddle/http/Attempt.java
+++ b/src/main/java/sandpaddle/http/Attempt.java
@@ -1,6 +1,7 @@
 package sandpaddle.http;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import sandpaddle.net.Loop;
@@ -22,6 +23,7 @@
     static final String STATS = "x-stats";
     private static final int OK = 200;
     private static final int NOT_YET = 202;
+    private static final int ERROR = 500;
     private static final int FULL = 503;
     private static final int OVER = 504;
     private static final int MOST_PAGES = 64;
@@ -29,6 +31,8 @@
     /** An engine answers a poll after 250 ms, and gives up a query not asked for in 2 s. */
     private static final Duration SILENT = Duration.ofMillis(900);
     private static final Duration AGAIN = Duration.ofMillis(100); // between tries to reach a silent engine
+    /** An engine that could not be reached for so long has given the query up, or has died with it. */
+    private static final Duration FORGOTTEN = Duration.ofMillis(2500);
     private static final int MOST_BREAKS = 3; // connections broken one after the other, with no answer between
 
     private enum Phase { CONNECTING, OUT, GIVING_UP, OVER }
@@ -46,6 +50,7 @@
     private int pagesInAll = 1, bytes, breaks;
     private boolean everSent; // a byte of the POST may have left
     private String stats;
+    private Instant reachedAt; // when the engine was last reached
 
     Attempt(Loop loop, Engines engines, String engine, AttemptOrder order, Listener listener) {
         this.loop = loop;
@@ -62,9 +67,10 @@
             }
 
             @Override
-            public void down(String why, boolean refused) {
+            public void down(EnginePool.Down how, String why) {
                 if (phase == Phase.CONNECTING) {
-                    end(new AttemptEnd.NotConnected(why));
+                    end(how == EnginePool.Down.NO_ROOM ? new AttemptEnd.NotSent(why)
+                            : new AttemptEnd.NotConnected(why));
                 }
             }
         });
@@ -86,6 +92,7 @@
 
     private void call(EngineConnection c, byte[] request, int page) {
         connection = c;
+        reachedAt = reachedAt == null ? loop.now() : reachedAt;
         c.call(request, SILENT, new EngineConnection.Call() {
             @Override
             public void answered(Response r) {
@@ -97,10 +104,10 @@
             }
 
             @Override
-            public void failed(String why, boolean maybeSent) {
+            public void failed(EngineConnection.Failure how, String why, boolean maybeSent) {
                 connection = null;
                 if (phase == Phase.OUT) {
-                    broke(why, maybeSent, page);
+                    broke(how, why, maybeSent, page);
                 }
             }
         });
@@ -110,11 +117,13 @@
      * Guards against answers that got lost with their connection, or with an engine that stands still: the query
      * is bound to no connection, so it is asked for on another one. Only what was never written never ran.
      */
-    private void broke(String why, boolean maybeSent, int page) {
+    private void broke(EngineConnection.Failure how, String why, boolean maybeSent, int page) {
         if (!maybeSent && !everSent) {
             end(new AttemptEnd.NotConnected(why));
-        } else if (++breaks > MOST_BREAKS && !why.startsWith("no answer")) {
-            end(new AttemptEnd.Broken(why));
+        } else if (how == EngineConnection.Failure.MALFORMED) {
+            giveUp(new AttemptEnd.Errored(why, stats), false);
+        } else if (how == EngineConnection.Failure.BROKEN && ++breaks > MOST_BREAKS) {
+            giveUp(new AttemptEnd.Broken(why), false);
         } else {
             everSent = true;
             askAgain(page);
@@ -125,19 +134,17 @@
         pool.connect(new EnginePool.Waiter() {
             @Override
             public void up(EngineConnection c) {
-                if (phase == Phase.OUT) {
-                    call(c, Requests.ask(pool.host(), order.trace(), page), page);
-                } else {
-                    pool.release(c);
-                }
+                reachedAt = loop.now();
+                asked(c, page);
             }
 
             @Override
-            public void down(String why, boolean refused) {
+            public void down(EnginePool.Down how, String why) {
                 if (phase != Phase.OUT) {
                     return;
                 }
-                if (refused) {
+                boolean forgotten = reachedAt.plus(FORGOTTEN).isBefore(loop.now());
+                if (how == EnginePool.Down.REFUSED || how == EnginePool.Down.UNREACHABLE && forgotten) {
                     end(new AttemptEnd.Broken(why));
                 } else {
                     loop.after(AGAIN, () -> {
@@ -150,8 +157,17 @@
         });
     }
 
+    private void asked(EngineConnection c, int page) {
+        if (phase == Phase.OUT) {
+            call(c, Requests.ask(pool.host(), order.trace(), page), page);
+        } else {
+            pool.release(c);
+        }
+    }
+
     private void heard(Response r, int page) {
         everSent = true;
+        reachedAt = loop.now();
         stats = r.header(STATS) != null ? r.header(STATS) : stats;
         boolean declined = "1".equals(r.header("x-declined"));
         if (r.status() == OK) {
@@ -163,8 +179,10 @@
             end(new AttemptEnd.Declined(stats));
         } else if (r.status() == OVER && declined) {
             end(new AttemptEnd.Lapsed(stats));
-        } else {
+        } else if (r.status() == ERROR) {
             end(new AttemptEnd.Errored("status " + r.status(), stats));
+        } else { // no answer of this protocol: the query may still run
+            giveUp(new AttemptEnd.Errored("status " + r.status(), stats), false);
         }
     }
 
@@ -204,17 +222,13 @@
         pool.acquire(new EnginePool.Waiter() {
             @Override
             public void up(EngineConnection c) {
-                if (phase == Phase.OUT) {
-                    call(c, Requests.ask(pool.host(), order.trace(), page), page);
-                } else {
-                    pool.release(c);
-                }
+                asked(c, page);
             }
 
             @Override
-            public void down(String why, boolean refused) {
+            public void down(EnginePool.Down how, String why) {
                 if (phase == Phase.OUT) {
-                    broke(why, true, page);
+                    askAgain(page);
                 }
             }
         });
@@ -246,7 +260,13 @@
         }
     }
 
+    private void told(AttemptEnd as) {
+        engines.deleting(-1);
+        end(as);
+    }
+
     private void delete(AttemptEnd as) {
+        engines.deleting(1);
         pool.acquire(new EnginePool.Waiter() {
             @Override
             public void up(EngineConnection c) {
@@ -258,19 +278,19 @@
 
                     @Override
                     public void answered(Response r) {
-                        end(as);
+                        told(as);
                     }
 
                     @Override
-                    public void failed(String why, boolean maybeSent) {
-                        end(as);
+                    public void failed(EngineConnection.Failure how, String why, boolean maybeSent) {
+                        told(as);
                     }
                 });
             }
 
             @Override
-            public void down(String why, boolean refused) {
-                end(as); // nobody there to be told; the engine drops what is not asked for
+            public void down(EnginePool.Down how, String why) {
+                told(as); // nobody there to be told; the engine drops what is not asked for
             }
         });
     }
@@ -290,14 +310,14 @@
                     }
 
                     @Override
-                    public void failed(String why, boolean maybeSent) {
+                    public void failed(EngineConnection.Failure how, String why, boolean maybeSent) {
                         // the query runs on with the priority that it has
                     }
                 });
             }
 
             @Override
-            public void down(String why, boolean refused) {
+            public void down(EnginePool.Down how, String why) {
                 // as above
             }
         });
--- a/src/main/java/sandpaddle/http/EngineConnection.java
+++ b/src/main/java/sandpaddle/http/EngineConnection.java
@@ -8,6 +8,8 @@
 
 /** A connection to an engine: one call at a time, each bound by time. */
 final class EngineConnection implements Connection.Owner {
+    enum Failure { SILENT, BROKEN, MALFORMED }
+
     /** What becomes of a call: {@link #written}, then one of the others. */
     interface Call {
         /** The call has left whole. */
@@ -17,7 +19,7 @@
         void answered(Response response);
 
         /** No answer comes; {@code maybeSent}: a byte of the call may have left. */
-        void failed(String why, boolean maybeSent);
+        void failed(Failure how, String why, boolean maybeSent);
     }
 
     private final Loop loop;
@@ -45,7 +47,7 @@
     void call(byte[] request, Duration most, Call next) {
         call = next;
         connection.clearStartedSending();
-        bound = loop.after(most, () -> fail("no answer in " + most.toMillis() + " ms"));
+        bound = loop.after(most, () -> fail(Failure.SILENT, "no answer in " + most.toMillis() + " ms"));
         connection.write(request);
         if (call == next && connection.unsent() == 0) {
             next.written();
@@ -62,7 +64,7 @@
     @Override
     public void received(ByteBuffer bytes) {
         if (call == null) {
-            fail("bytes that nobody asked for");
+            fail(Failure.MALFORMED, "bytes that nobody asked for");
             return;
         }
         try {
@@ -71,7 +73,7 @@
                 answered(r, bytes.hasRemaining());
             }
         } catch (MalformedException e) {
-            fail("malformed answer: " + e.getMessage());
+            fail(Failure.MALFORMED, "malformed answer: " + e.getMessage());
         }
     }
 
@@ -92,11 +94,11 @@
         return c;
     }
 
-    private void fail(String why) {
+    private void fail(Failure how, String why) {
         boolean maybeSent = connection.startedSending();
         close();
         if (call != null) {
-            take().failed(why, maybeSent);
+            take().failed(how, why, maybeSent);
         }
     }
 
@@ -120,7 +122,7 @@
             pool.closed(this);
             take().answered(last);
         } else {
-            fail(cause == null ? "closed by the engine" : cause.toString());
+            fail(Failure.BROKEN, cause == null ? "closed by the engine" : cause.toString());
         }
     }
 }
--- a/src/main/java/sandpaddle/http/EnginePool.java
+++ b/src/main/java/sandpaddle/http/EnginePool.java
@@ -1,7 +1,9 @@
 package sandpaddle.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
@@ -16,11 +18,14 @@
  * ones are retired before the engine closes them, so that no call meets a connection that is about to end.
  */
 final class EnginePool {
+    /** Why no connection came up. {@code NO_ROOM} says nothing of the engine: this process has none to spare. */
+    enum Down { REFUSED, UNREACHABLE, NO_ROOM }
+
     /** Who waits for a connection; one of the two is called, {@link #up} maybe at once. */
     interface Waiter {
         void up(EngineConnection connection);
 
-        void down(String why, boolean refused);
+        void down(Down how, String why);
     }
 
     private record Idle(EngineConnection connection, Instant since) { }
@@ -61,7 +66,7 @@
     /** A new connection, whatever is idle. */
     void connect(Waiter waiter) {
         if (!engines.mayOpen()) {
-            waiter.down("no descriptor to spare", false);
+            waiter.down(Down.NO_ROOM, "no descriptor to spare");
             return;
         }
         engines.opened();
@@ -71,10 +76,15 @@
             opening.connection = Connection.open(loop, address, opening);
         } catch (IOException e) {
             engines.ended();
-            waiter.down(e.toString(), true);
+            waiter.down(kind(e, Down.NO_ROOM), e.toString());
         }
     }
 
+    private static Down kind(Exception cause, Down otherwise) {
+        return cause instanceof ConnectException ? Down.REFUSED
+                : cause instanceof NoRouteToHostException ? Down.UNREACHABLE : otherwise;
+    }
+
     /** A connection that is coming up. */
     private final class Opening implements Connection.Owner {
         private final EngineConnection next;
@@ -91,7 +101,7 @@
         private void late() {
             connection.close();
             engines.ended();
-            waiter.down("no connection in " + engines.connectTimeout().toMillis() + " ms", false);
+            waiter.down(Down.UNREACHABLE, "no connection in " + engines.connectTimeout().toMillis() + " ms");
         }
 
         @Override
@@ -110,7 +120,7 @@
         public void closed(Exception cause) {
             bound.cancel();
             engines.ended();
-            waiter.down(String.valueOf(cause), true);
+            waiter.down(kind(cause, Down.UNREACHABLE), String.valueOf(cause));
         }
     }
 
--- a/src/main/java/sandpaddle/http/Engines.java
+++ b/src/main/java/sandpaddle/http/Engines.java
@@ -22,7 +22,7 @@
     private final Duration connectTimeout, idleMost;
     private final int mostConnections;
     private final Map<String, Entry> entries = new HashMap<>();
-    private int connections;
+    private int connections, deletes;
 
     public Engines(Loop loop, Duration connectTimeout, Duration engineIdle, int mostConnections) {
         this.loop = loop;
@@ -88,6 +88,15 @@
         return connections < mostConnections;
     }
 
+    void deleting(int more) {
+        deletes += more;
+    }
+
+    /** Whether every engine that was to be told to stop has been told. */
+    public boolean isIdle() {
+        return deletes == 0;
+    }
+
     void opened() {
         connections++;
     }
--- a/src/main/java/sandpaddle/http/Probe.java
+++ b/src/main/java/sandpaddle/http/Probe.java
@@ -32,7 +32,7 @@
     }
 
     @Override
-    public void down(String why, boolean refused) {
+    public void down(EnginePool.Down how, String why) {
         end(ProbeEnd.Kind.NOT_CONNECTED, null);
     }
 
@@ -42,7 +42,7 @@
     }
 
     @Override
-    public void failed(String why, boolean maybeSent) {
+    public void failed(EngineConnection.Failure how, String why, boolean maybeSent) {
         end(ProbeEnd.Kind.BROKEN, null);
     }
 
--- a/src/main/java/sandpaddle/mysql/Frontend.java
+++ b/src/main/java/sandpaddle/mysql/Frontend.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,11 +23,14 @@
     private final SplittableRandom random;
     private final Map<Integer, Session> sessions = new HashMap<>();
     private final Acceptor acceptor;
+    private final int mostSessions;
     private int lastId;
 
-    public Frontend(Loop loop, InetSocketAddress address, QueryService service, long seed) throws IOException {
+    public Frontend(Loop loop, InetSocketAddress address, QueryService service, int mostSessions,
+            long seed) throws IOException {
         this.loop = loop;
         this.service = service;
+        this.mostSessions = mostSessions;
         random = new SplittableRandom(seed);
         acceptor = new Acceptor(loop, address, this::accepted);
     }
@@ -43,7 +47,24 @@
         return sessions.get(id);
     }
 
+    /** Guards the limit on descriptors: engines need theirs. */
     private void accepted(Connection c) {
+        if (sessions.size() >= mostSessions) {
+            c.owner(new Connection.Owner() {
+                @Override
+                public void received(ByteBuffer bytes) {
+                    // it is told to go, whatever it says
+                }
+
+                @Override
+                public void closed(Exception cause) {
+                    // as it was told
+                }
+            });
+            c.write(Messages.error(0, SqlError.ER_CON_COUNT_ERROR, "Too many connections"));
+            c.closeWhenFlushed();
+            return;
+        }
         Session s = new Session(this, loop, c, ++lastId);
         c.owner(s);
         sessions.put(s.id, s);
--- a/src/main/java/sandpaddle/mysql/Login.java
+++ b/src/main/java/sandpaddle/mysql/Login.java
@@ -8,11 +8,11 @@
 
     static Login parse(byte[] b) throws ProtocolException {
         if (b.length < USER_AT + 2) {
-            throw new ProtocolException("login too short");
+            throw new ProtocolException(SqlError.ER_HANDSHAKE_ERROR, "login too short");
         }
         int caps = b[0] & 0xFF | (b[1] & 0xFF) << 8 | (b[2] & 0xFF) << 16 | (b[3] & 0xFF) << 24;
         if ((caps & Messages.PROTOCOL_41) == 0) {
-            throw new ProtocolException("login without protocol 4.1");
+            throw new ProtocolException(SqlError.ER_HANDSHAKE_ERROR, "login without protocol 4.1");
         }
         int userEnd = zero(b, USER_AT);
         int authAt = userEnd + 1;
@@ -25,7 +25,7 @@
             authEnd = zero(b, authAt);
         }
         if (authEnd > b.length + 1) {
-            throw new ProtocolException("login cut short");
+            throw new ProtocolException(SqlError.ER_HANDSHAKE_ERROR, "login cut short");
         }
         boolean empty = authEnd <= authAt || authEnd == authAt + 1 && b[authAt] == 0;
         int dbAt = (caps & (Messages.SECURE_CONNECTION | Messages.PLUGIN_AUTH_LENENC)) != 0 ? authEnd : authEnd + 1;
--- a/src/main/java/sandpaddle/mysql/ProtocolException.java
+++ b/src/main/java/sandpaddle/mysql/ProtocolException.java
@@ -4,7 +4,10 @@
 final class ProtocolException extends Exception {
     private static final long serialVersionUID = 1;
 
-    ProtocolException(String message) {
+    final transient SqlError error;
+
+    ProtocolException(SqlError error, String message) {
         super(message);
+        this.error = error;
     }
 }
--- a/src/main/java/sandpaddle/mysql/Session.java
+++ b/src/main/java/sandpaddle/mysql/Session.java
@@ -27,7 +27,7 @@
     private final Connection connection;
     private final PacketReader packets = new PacketReader();
     final int id;
-    private boolean loggedIn, handling;
+    private boolean loggedIn, handling, ended;
     private int open; // the number of the open query, so that a late answer finds nobody
     private QueryService.Ticket ticket;
     private boolean busy;
@@ -57,15 +57,13 @@
         }
         handling = true;
         try {
-            for (PacketReader.Packet p = busy ? null : packets.next(); p != null; p = busy ? null : packets.next()) {
+            for (PacketReader.Packet p = next(); p != null; p = next()) {
                 packet(p);
             }
         } catch (ProtocolException e) {
             Logger.info("session {} ends: {}", id, e.getMessage());
             leave();
-            send(Messages.error(1, SqlError.ER_NET_PACKET_TOO_LARGE, e.getMessage()));
-            connection.closeWhenFlushed();
-            frontend.ended(this);
+            end(Messages.error(1, e.error, e.getMessage()));
         } finally {
             handling = false;
         }
@@ -73,20 +71,31 @@
         connection.reading(!busy || packets.buffered() <= PacketReader.MOST_BYTES);
     }
 
+    private PacketReader.Packet next() throws ProtocolException {
+        return busy || ended ? null : packets.next();
+    }
+
+    /** The last words of a session; what else its client sent is not looked at. */
+    private void end(byte[] words) {
+        ended = true;
+        if (words.length > 0) {
+            send(words);
+        }
+        connection.closeWhenFlushed();
+        frontend.ended(this);
+    }
+
     private void packet(PacketReader.Packet p) throws ProtocolException {
         if (!loggedIn) {
             logIn(p);
             return;
         }
         if (p.seq() != 0 || p.payload().length == 0) {
-            throw new ProtocolException("expected a command");
+            throw new ProtocolException(SqlError.ER_NET_PACKETS_OUT_OF_ORDER, "expected a command");
         }
         String rest = new String(p.payload(), 1, p.payload().length - 1, StandardCharsets.UTF_8);
         switch (p.payload()[0]) {
-            case COM_QUIT -> {
-                connection.close();
-                frontend.ended(this);
-            }
+            case COM_QUIT -> end(new byte[0]);
             case COM_PING, COM_RESET_CONNECTION -> send(Messages.ok(1));
             case COM_INIT_DB -> send(rest.equals(Frontend.DATABASE) ? Messages.ok(1)
                     : Messages.error(1, SqlError.ER_BAD_DB_ERROR, "Unknown database '" + rest + "'"));
@@ -104,13 +113,9 @@
         Login login = Login.parse(p.payload());
         int seq = p.seq() + 1;
         if (!login.user().equals(Frontend.USER) || !login.passwordEmpty()) {
-            send(Messages.error(seq, SqlError.ER_ACCESS_DENIED_ERROR, "Access denied for user '" + login.user() + "'"));
-            connection.closeWhenFlushed();
-            frontend.ended(this);
+            end(Messages.error(seq, SqlError.ER_ACCESS_DENIED_ERROR, "Access denied for user '" + login.user() + "'"));
         } else if (!login.database().isEmpty() && !login.database().equals(Frontend.DATABASE)) {
-            send(Messages.error(seq, SqlError.ER_BAD_DB_ERROR, "Unknown database '" + login.database() + "'"));
-            connection.closeWhenFlushed();
-            frontend.ended(this);
+            end(Messages.error(seq, SqlError.ER_BAD_DB_ERROR, "Unknown database '" + login.database() + "'"));
         } else {
             loggedIn = true;
             send(Messages.ok(seq));
@@ -165,8 +170,7 @@
         } else {
             send(Messages.ok(1));
             other.leave();
-            other.connection.closeWhenFlushed();
-            frontend.ended(other);
+            other.end(new byte[0]);
         }
     }
 
@@ -210,8 +214,7 @@
 
     /** Closes a session with no open query; a request that crosses this is sent again by its client. */
     void closeIdle() {
-        connection.closeWhenFlushed();
-        frontend.ended(this);
+        end(new byte[0]);
     }
 
     @Override
--- a/src/main/java/sandpaddle/net/Loop.java
+++ b/src/main/java/sandpaddle/net/Loop.java
@@ -101,15 +101,28 @@
                 try {
                     handler.ready(key);
                 } catch (IOException | RuntimeException e) {
-                    if (e instanceof RuntimeException) {
-                        Logger.error(e, "a connection failed unexpectedly");
-                    }
-                    handler.broken(e);
+                    broken(handler, e);
                 }
             }
         }
         selector.selectedKeys().clear();
-        timers.run(now);
-        handOn.run();
+        guarded(() -> timers.run(now));
+        guarded(handOn);
+    }
+
+    private static void broken(Handler handler, Exception cause) {
+        if (cause instanceof RuntimeException) {
+            Logger.error(cause, "a connection failed unexpectedly");
+        }
+        guarded(() -> handler.broken(cause));
+    }
+
+    /** Guards all other connections against a fault in what serves one: it is logged, and the loop goes on. */
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            Logger.error(e, "a task of the loop failed");
+        }
     }
 }
--- a/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -144,6 +144,9 @@
                 module.on(now, e, actions::add);
             } catch (RuntimeException fault) {
                 Logger.error(fault, "the module failed on {}", e);
+                if (e instanceof Gateway.Request r) {
+                    answer(r.id(), new Answer.Failed("internal error"));
+                }
             }
         }
         actions.forEach(this::carryOut);
--- a/src/main/java/sandpaddle/serve/Server.java
+++ b/src/main/java/sandpaddle/serve/Server.java
@@ -1,6 +1,7 @@
 package sandpaddle.serve;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
 import org.tinylog.Logger;
@@ -19,23 +20,28 @@
     private static final Duration LAST_ANSWERS = Duration.ofMillis(3100);
     private static final Duration EXIT = Duration.ofMillis(3400);
     private static final int CLIENTS_PART = 3; // clients hold at most this part of the descriptors
-    private static final int OTHER_DESCRIPTORS = 48; // the JVM's files, the selector, the feed, connections ending
+    private static final int OTHER_DESCRIPTORS = 80; // the JVM's files, the selector, the feed, connections ending
+
+    private static final int ENDING_CLIENTS = 24; // those that are closing still count for a moment
 
     private final Loop loop;
+    private final Engines engines;
     private final Dispatcher dispatcher;
     private final Frontend frontend;
-    private volatile boolean endAsked;
+    private volatile boolean endAsked, aborted;
     private boolean ending, graceOver;
 
     public Server(Config config, Clock clock) throws IOException {
         loop = new Loop(clock);
-        int forEngines = config.sockets() - config.sockets() / CLIENTS_PART - OTHER_DESCRIPTORS;
-        Engines engines = new Engines(loop, config.connectTimeout(), config.engineIdle(), Math.max(1, forEngines));
+        int forClients = config.sockets() / CLIENTS_PART;
+        int forEngines = config.sockets() - forClients - OTHER_DESCRIPTORS;
+        engines = new Engines(loop, config.connectTimeout(), config.engineIdle(), Math.max(1, forEngines));
         dispatcher = new Dispatcher(loop, new Decide(config.settings(), config.seed()), config.settings(),
                 config.names(), engines);
         config.known().forEach(dispatcher::listed);
         new Feed(loop, config.feed(), config.names(), config.knownNumber(), dispatcher::listed).start();
-        frontend = new Frontend(loop, config.listen(), dispatcher, config.seed());
+        frontend = new Frontend(loop, config.listen(), dispatcher, forClients + ENDING_CLIENTS,
+                config.seed());
         Logger.info("{} listens on {}", config.name(), frontend.address());
     }
 
@@ -44,7 +50,15 @@
         loop.run(this::endOfTurn);
     }
 
+    public InetSocketAddress address() throws IOException {
+        return frontend.address();
+    }
+
     private void endOfTurn() {
+        if (aborted) {
+            frontend.stopListening();
+            loop.stop();
+        }
         dispatcher.handOn();
         if (endAsked && !ending) {
             ending = true;
@@ -58,12 +72,18 @@
         }
         if (graceOver) {
             frontend.closeIdle();
-            if (dispatcher.isIdle() && frontend.isIdle()) {
+            if (dispatcher.isIdle() && frontend.isIdle() && engines.isIdle()) {
                 loop.stop();
             }
         }
     }
 
+    /** From any thread: end at once, whatever is open. */
+    public void abort() {
+        aborted = true;
+        loop.wakeUp();
+    }
+
     /** From any thread: take requests for the grace, answer all, then end. */
     public void end() {
         endAsked = true;
--- /dev/null
+++ b/src/test/java/sandpaddle/http/HttpTest.java
@@ -0,0 +1,130 @@
+package sandpaddle.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+import sandpaddle.net.Loop;
+
+public class HttpTest {
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    @Test
+    public void answersAreReadHoweverTheyAreCut() throws Exception {
+        String first = "HTTP/1.1 200 OK\r\nResult-Pages: 3\r\ncontent-length: 4\r\n\r\nab\nc";
+        String chunked = "HTTP/1.1 100 -\r\n\r\nHTTP/1.1 202 \nTransfer-Encoding: chunked\n\n2;x\r\nde\r\n1\r\nf\r\n0\r\n\r\n";
+        ResponseParser parser = new ResponseParser();
+        List<Response> read = new ArrayList<>();
+        for (char c : (first + chunked + "HTTP/1.1 204 -\r\n\r\n").toCharArray()) {
+            Response r = parser.feed(bytes(String.valueOf(c)));
+            if (r != null) {
+                read.add(r);
+            }
+        }
+        assertEquals(read.stream().map(Response::status).toList(), List.of(200, 202, 204));
+        assertEquals(new String(read.get(0).body(), StandardCharsets.UTF_8), "ab\nc");
+        assertEquals(read.get(0).number("result-pages", 1), 3);
+        assertEquals(new String(read.get(1).body(), StandardCharsets.UTF_8), "def");
+    }
+
+    /** Guards the memory limit, and answers against bytes that are none. */
+    @Test
+    public void whatIsNoAnswerOrTooLargeIsMalformed() {
+        for (String s : List.of("SSH-2.0-x\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "HTTP/1.1 200 OK\r\n: x\r\n",
+                "HTTP/1.1 200 OK\r\nA: " + "x".repeat(ResponseParser.MOST_HEAD))) {
+            assertThrows(MalformedException.class, () -> new ResponseParser().feed(bytes(s)));
+        }
+    }
+
+    private static final class Heard implements Attempt.Listener {
+        private final List<AttemptEnd> ends = new ArrayList<>();
+
+        @Override
+        public void note(String topic, double value) {
+        }
+
+        @Override
+        public void ended(AttemptEnd end) {
+            ends.add(end);
+        }
+
+        AttemptEnd await(Loop loop) throws IOException {
+            Instant until = Instant.now().plusSeconds(5);
+            while (ends.isEmpty() && Instant.now().isBefore(until)) {
+                loop.turn(() -> { }, Duration.ofMillis(50));
+            }
+            assertEquals(ends.size(), 1);
+            return ends.get(0);
+        }
+    }
+
+    private static AttemptOrder order(Loop loop) {
+        return new AttemptOrder("00000000000000a1", "load", new byte[] {'x'}, 0, 1, loop.now().plusSeconds(4), true);
+    }
+
+    /** Guards the drain rule: an engine that drains while the connection comes up is sent nothing. */
+    @Test
+    public void theListIsLookedAtAgainWhenAConnectionComesUp() throws Exception {
+        try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Loop loop = new Loop(Clock.systemUTC());
+            Engines engines = new Engines(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 10);
+            InetSocketAddress at = (InetSocketAddress) engine.getLocalSocketAddress();
+            engines.listed("e", at, true, false);
+            Heard heard = new Heard();
+            engines.start("e", order(loop), heard);
+            engines.listed("e", at, false, false);
+            assertEquals(heard.await(loop).getClass(), AttemptEnd.NotSent.class);
+        }
+    }
+
+    /** Guards against calling harmless only what is proven: a refused connection is proof. */
+    @Test
+    public void aRefusedConnectionNeverRan() throws Exception {
+        InetSocketAddress nobody;
+        try (ServerSocket s = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            nobody = (InetSocketAddress) s.getLocalSocketAddress();
+        }
+        Loop loop = new Loop(Clock.systemUTC());
+        Engines engines = new Engines(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 10);
+        engines.listed("e", nobody, true, false);
+        Heard heard = new Heard();
+        engines.start("e", order(loop), heard);
+        assertEquals(heard.await(loop).getClass(), AttemptEnd.NotConnected.class);
+    }
+
+    /** Guards the limit on descriptors. */
+    @Test
+    public void noMoreConnectionsAreOpenedThanAllowed() throws Exception {
+        try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Loop loop = new Loop(Clock.systemUTC());
+            Engines engines = new Engines(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 1);
+            engines.listed("e", (InetSocketAddress) engine.getLocalSocketAddress(), true, false);
+            Heard first = new Heard();
+            Heard second = new Heard();
+            engines.start("e", order(loop), first);
+            engines.start("e", order(loop), second);
+            assertEquals(second.await(loop).getClass(), AttemptEnd.NotSent.class);
+            assertEquals(first.ends, List.of());
+        }
+    }
+
+    @Test
+    public void anInterimAnswerIsNone() throws Exception {
+        assertNull(new ResponseParser().feed(bytes("HTTP/1.1 100 Continue\r\n\r\n")));
+    }
+}
--- /dev/null
+++ b/src/test/java/sandpaddle/mysql/StatementTest.java
@@ -0,0 +1,48 @@
+package sandpaddle.mysql;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class StatementTest {
+    @DataProvider
+    public Object[][] groups() {
+        return new Object[][] {
+            {"SELECT day FROM sales_17.orders WHERE tag = '3f9c'", 17},
+            {"SELECT 'FROM x_4.y', \"a\\\" FROM x_5.y\" FROM sales_17.orders", 17},
+            {"SELECT /* FROM x_4.y */ 1 -- FROM x_5.y\n # FROM x_6.y\n FROM `sales_17` . `orders`", 17},
+            {"INSERT INTO sales_3.orders SELECT * FROM staging.batch_9", 3},
+            {"INSERT INTO staging_4.t SELECT o_5.a FROM staging.b_9.c, sales_21.orders o_5", 21},
+            {"SELECT o_5.day FROM a_b_12.orders AS o_5", 12},
+            {"SELECT 1 FROM orders", -1},
+            {"SELECT 'open FROM sales_17.orders", -1},
+        };
+    }
+
+    /** Guards the choice by tables against names that are none. */
+    @Test(dataProvider = "groups")
+    public void groupIsThatOfTheFirstSchemaWhereTablesStand(String sql, long group) {
+        assertEquals(SqlScanner.tableGroup(sql), group);
+    }
+
+    @Test
+    public void onlyTheCommentOfTheFieldsIsTakenOut() {
+        String sql = "/* app 7 */ SELECT /* keep */ 'caf\u00e9'  FROM sales_17.orders -- end";
+        String fields = "/* route=report,trace=9b1f03aa5c7e2d41,patience=1500,weight=820.5,est_mb=96 */ ";
+        var ask = (Statement.Ask) Statement.parse(
+                sql.replace("/* app 7 */ ", "/* app 7 */ " + fields).getBytes(StandardCharsets.UTF_8));
+        assertEquals(new String(ask.query().statement(), StandardCharsets.UTF_8), sql);
+        assertEquals(ask.query().work(), Duration.ofNanos(820_500_000));
+        assertEquals(ask.query().memoryMb(), 96.0);
+        assertEquals(ask.query().patience(), Duration.ofMillis(1500));
+    }
+
+    @Test
+    public void killNamesItsConnection() {
+        assertEquals(Statement.parse(" kill query 12 ;".getBytes(StandardCharsets.UTF_8)), new Statement.Kill(true, 12));
+        assertEquals(Statement.parse("KILL 3".getBytes(StandardCharsets.UTF_8)), new Statement.Kill(false, 3));
+    }
+}
--- /dev/null
+++ b/src/test/java/sandpaddle/net/ClockTest.java
@@ -0,0 +1,52 @@
+package sandpaddle.net;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+public class ClockTest {
+    /** Guards the module, whose times may never go back, against a system clock that is set back. */
+    @Test
+    public void timeNeverGoesBack() {
+        Instant[] system = {Instant.ofEpochSecond(100)};
+        UnixClock clock = new UnixClock(new Clock() {
+            @Override
+            public ZoneOffset getZone() {
+                return ZoneOffset.UTC;
+            }
+
+            @Override
+            public Clock withZone(java.time.ZoneId zone) {
+                return this;
+            }
+
+            @Override
+            public Instant instant() {
+                return system[0];
+            }
+        });
+        assertEquals(clock.now(), Instant.ofEpochSecond(100));
+        system[0] = Instant.ofEpochSecond(90);
+        assertEquals(clock.now(), Instant.ofEpochSecond(100));
+    }
+
+    @Test
+    public void timersRunInOrderAndNotOnceCancelled() {
+        Timers timers = new Timers();
+        List<String> ran = new ArrayList<>();
+        Instant t = Instant.ofEpochSecond(1);
+        timers.at(t.plusMillis(2), () -> ran.add("late"));
+        timers.at(t, () -> ran.add("first"));
+        timers.at(t, () -> ran.add("second"));
+        timers.at(t, () -> ran.add("never")).cancel();
+        timers.run(t.plusMillis(1));
+        assertEquals(ran, List.of("first", "second"));
+        assertEquals(timers.untilNext(t.plusMillis(1), Duration.ofSeconds(1)), Duration.ofMillis(1));
+    }
+}
--- /dev/null
+++ b/src/test/java/sandpaddle/story/GatewayStories.java
@@ -0,0 +1,200 @@
+package sandpaddle.story;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+import static sandpaddle.story.ScriptedEngine.BREAK;
+import static sandpaddle.story.ScriptedEngine.SILENT;
+import static sandpaddle.story.ScriptedEngine.answer;
+import static sandpaddle.story.ScriptedEngine.ok;
+
+import java.io.ByteArrayOutputStream;
+import org.testng.annotations.Test;
+
+/** What clients and engines see of a gateway, one story for each way in which it could go wrong. */
+public class GatewayStories {
+    private static final String SQL = "SELECT day, count(*) FROM sales_17.orders";
+    private static final String NOT_YET = answer(202, "", "");
+    private static final String DECLINED = answer(503, "X-Declined: 1\r\n", "");
+
+    @Test
+    public void loginAndQueryBeforeTheGreetingInPiecesAreServedUnchanged() throws Exception {
+        try (var engine = new ScriptedEngine(c -> switch (c.line().split(" ")[1]) {
+            case "/x" -> answer(202, "X-Result: frac\r\nNote-Value: 0.5\r\n", "");
+            case "/x/00000000000000a1/0" -> answer(200, "Result-Pages: 2\r\n", "d1\t2\tn'1\n");
+            default -> answer(200, "Result-Page: 1\r\n", "d2\t\tx\n");
+        }); var feed = new ScriptedFeed(); var stage = new Stage(feed, engine);
+                var client = new Client(stage.address())) {
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            all.writeBytes(Client.login());
+            all.writeBytes(Client.query(Stage.fields("lookup", 0xa1, 5000) + SQL));
+            for (byte b : all.toByteArray()) {
+                client.write(new byte[] {b});
+            }
+            client.greeted();
+            assertEquals(client.answer(), "ok");
+            assertEquals(client.answer(), "d1|2|n'1/d2||x");
+            var post = engine.next("POST");
+            assertEquals(post.body(), SQL);
+            assertEquals(post.headers().get("x-trace"), "00000000000000a1");
+            assertEquals(post.headers().get("x-profile"), "lookup");
+        }
+    }
+
+    /** Guards against a connection that breaks while the query runs on: it is bound to none. */
+    @Test
+    public void aBrokenPollIsAskedAgainOnAnotherConnection() throws Exception {
+        try (var engine = new ScriptedEngine(c -> c.is("POST") ? NOT_YET : c.connection() == 1 ? BREAK : ok("a\tb\tc\n"));
+                var feed = new ScriptedFeed(); var stage = new Stage(feed, engine)) {
+            assertEquals(stage.client().ask(Stage.fields("load", 1, 5000) + SQL), "a|b|c");
+            engine.next("POST");
+            assertEquals(engine.count("POST"), 0, "a load must never run twice");
+        }
+    }
+
+    /** Guards against running a load twice, and against calling harmless what may have run. */
+    @Test
+    public void aLoadIsSentAgainOnlyIfItNeverRan() throws Exception {
+        try (var engine = new ScriptedEngine(c -> DECLINED); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            var client = stage.client();
+            client.write(Client.query(Stage.fields("load", 1, 8000) + SQL));
+            engine.next("POST");
+            engine.script(c -> answer(500, "", ""));
+            engine.next("POST");
+            assertEquals(client.answer().substring(0, 4), "1105");
+            assertEquals(engine.count("POST"), 0);
+            engine.script(c -> ok("a\tb\tc\n"));
+        }
+    }
+
+    /** Guards against rows that nobody can trust: a page that is cut, or not the one asked for. */
+    @Test
+    public void aMalformedPageIsAFailedAttempt() throws Exception {
+        try (var engine = new ScriptedEngine(c -> answer(200, "Result-Pages: 1\r\n", "a\tb\tc\nd\te"));
+                var feed = new ScriptedFeed(); var stage = new Stage(feed, engine)) {
+            assertEquals(stage.client().ask(Stage.fields("load", 1, 5000) + SQL).substring(0, 4), "1105");
+        }
+        try (var engine = new ScriptedEngine(c -> c.is("POST") ? answer(200, "Result-Pages: 2\r\n", "a\tb\tc\n")
+                : answer(200, "Result-Page: 2\r\n", "a\tb\tc\n")); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            assertEquals(stage.client().ask(Stage.fields("load", 1, 5000) + SQL).substring(0, 4), "1105");
+        }
+    }
+
+    /** Guards against a second answer: what comes after a KILL finds nobody, and the engine is told to stop. */
+    @Test
+    public void killQueryEndsTheQueryOnceAndTheSessionLives() throws Exception {
+        try (var engine = new ScriptedEngine(c -> SILENT); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            var client = stage.client();
+            client.write(Client.query(Stage.fields("lookup", 7, 5000) + SQL));
+            var post = engine.next("POST");
+            assertEquals(stage.client().ask("KILL QUERY " + client.id), "ok");
+            assertEquals(client.answer(), "1317 Query execution was interrupted");
+            var delete = engine.next("DELETE");
+            assertEquals(delete.line(), "DELETE /x/0000000000000007 HTTP/1.1");
+            assertNotEquals(delete.connection(), post.connection());
+            client.write(Client.command(14, ""));
+            assertEquals(client.answer(), "ok");
+        }
+    }
+
+    @Test
+    public void aClosedClientHasItsQueryStopped() throws Exception {
+        try (var engine = new ScriptedEngine(c -> SILENT); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            var client = stage.client();
+            client.write(Client.query(Stage.fields("load", 7, 5000) + SQL));
+            engine.next("POST");
+            client.close();
+            engine.next("DELETE");
+        }
+    }
+
+    /** Guards the rule of one answer in time where an engine swallows requests. */
+    @Test
+    public void aSilentEngineIsAnsweredForAtTheDeadline() throws Exception {
+        try (var engine = new ScriptedEngine(c -> SILENT); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            long from = System.nanoTime();
+            assertEquals(stage.client().ask(Stage.fields("load", 7, 1200) + SQL).substring(0, 4), "1105");
+            long ms = (System.nanoTime() - from) / 1_000_000;
+            assertTrue(ms >= 1190 && ms < 1700, "answered after " + ms);
+            engine.next("DELETE");
+        }
+    }
+
+    /** Guards against holding what was given up on: it is refused at once, with advice when to come back. */
+    @Test
+    public void withNoEngineLeftARequestIsRefusedWithAPause() throws Exception {
+        try (var engine = new ScriptedEngine(c -> DECLINED); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            assertEquals(stage.client().ask(Stage.fields("lookup", 1, 5000) + SQL), "1203 refused, pause=500");
+        }
+    }
+
+    /** Guards sessions against what a client gets wrong, and all others against one that breaks the framing. */
+    @Test
+    public void badInputEndsAtItsOwnSession() throws Exception {
+        try (var engine = new ScriptedEngine(c -> ok("a\tb\tc\n")); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            var client = stage.client();
+            assertEquals(client.ask("SELECT 1"), "1064 no comment with the field 'route'");
+            assertEquals(client.ask(Stage.fields("nightly", 1, 5000) + SQL), "1064 unknown route 'nightly'");
+            assertEquals(client.ask("/* route=lookup,trace=xyz,patience=5 */ " + SQL),
+                    "1064 field 'trace' is not 16 hex digits");
+            assertEquals(client.ask(Stage.fields("lookup", 1, -4) + SQL),
+                    "1064 field 'patience' is not a number of milliseconds");
+            client.write(Client.command(22, "SELECT 1"));
+            assertEquals(client.answer(), "1047 Unknown command");
+            var broken = stage.client();
+            broken.write(new byte[] {-1, -1, -1, 0});
+            assertEquals(broken.answer().substring(0, 4), "1153");
+            assertTrue(broken.isEnded());
+            assertEquals(client.ask(Stage.fields("lookup", 2, 5000) + SQL), "a|b|c");
+        }
+    }
+
+    /** Guards against a feed that stands still: an engine that drains must be known within seconds. */
+    @Test
+    public void aSilentOrMalformedFeedIsAskedAgainFromTheLastNumber() throws Exception {
+        try (var first = new ScriptedEngine(c -> ok("first\t\t\n")); var second = new ScriptedEngine(c -> ok("2nd\t\t\n"));
+                var feed = new ScriptedFeed(); var stage = new Stage(feed, first)) {
+            assertEquals(feed.accept().subscription(), "SUB 1"); // and then says nothing
+            var link = feed.accept();
+            assertEquals(link.subscription(), "SUB 1");
+            link.line(Stage.event(2, false, Stage.host("new", second, "Ready")));
+            link.line("{\"n\":3,\"members\":{\"hosts\":[{\"host\":4}]}}");
+            link = feed.accept();
+            assertEquals(link.subscription(), "SUB 2");
+            link.line(Stage.event(3, false, Stage.host("e0", first, "Terminating")));
+            link.line("9");
+            assertEquals(feed.accept().subscription(), "SUB 3");
+            var client = stage.client();
+            for (int i = 0; i < 5; i++) {
+                assertEquals(client.ask(Stage.fields("lookup", i, 5000) + SQL), "2nd||");
+            }
+            assertEquals(first.count("POST"), 0);
+        }
+    }
+
+    /** Guards requests that come after the order to end: they are taken, answered, and then the process ends. */
+    @Test
+    public void askedToEndItTakesRequestsThroughTheGraceAndAnswersAll() throws Exception {
+        try (var engine = new ScriptedEngine(c -> NOT_YET); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            var early = stage.client();
+            early.write(Client.query(Stage.fields("lookup", 1, 7000) + SQL));
+            engine.next("POST");
+            stage.server.end();
+            var late = stage.client();
+            late.write(Client.query(Stage.fields("load", 2, 7000) + SQL));
+            engine.next("POST");
+            engine.script(c -> c.line().contains("0000000000000001") ? ok("a\tb\tc\n") : NOT_YET);
+            assertEquals(early.answer(), "a|b|c");
+            assertEquals(late.answer(), "1105 failed: given up"); // before the kill can come
+            stage.awaitEnd();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sandpaddle/story/ScriptedFeed.java
@@ -0,0 +1,41 @@
+package sandpaddle.story;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A control feed; a test takes each connection and writes its lines. */
+final class ScriptedFeed implements AutoCloseable {
+    /** One connection, whose first line was read. */
+    record Link(Socket socket, String subscription) {
+        void line(String text) throws IOException {
+            socket.getOutputStream().write((text + "\n").getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    private final ServerSocket listening;
+
+    ScriptedFeed() throws IOException {
+        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        listening.setSoTimeout(8000);
+    }
+
+    int port() {
+        return listening.getLocalPort();
+    }
+
+    Link accept() throws IOException {
+        Socket s = listening.accept();
+        return new Link(s, new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8))
+                .readLine());
+    }
+
+    @Override
+    public void close() throws IOException {
+        listening.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/sandpaddle/story/Stage.java
@@ -0,0 +1,98 @@
+package sandpaddle.story;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import sandpaddle.config.Config;
+import sandpaddle.config.FieldException;
+import sandpaddle.config.Json;
+import sandpaddle.serve.Server;
+
+/** A gateway in a thread of its own, between the scripted peers of one test. */
+final class Stage implements AutoCloseable {
+    static final String SETTINGS = """
+            {"balancers":1,"me":0,"zone":0,"discovery":"automatic","models":["std"],"failure_domains":["east"],
+            "classes":[
+            {"name":"lookup","aim_us":1500000,"aim_stretch":1.5,"effect":"safe","hard_limit_us":7500000,"value":1.0},
+            {"name":"load","aim_us":4000000,"effect":"unsafe","hard_limit_us":20000000,"value":3.0}],
+            "report":{"fields":["utilization","backlog"],"how":"inline"},
+            "bounds":{"cancel":true,"may_probe":false,"peers":false,"retry_after":true,"second_copies":false,
+            "max_attempts":5,"most_held":100,"max_retry_after_us":1000000,"conn_idle_us":15000000,
+            "connect_timeout_us":250000},
+            "rules":{"answer_slack_us":20000,"drain_grace_us":250000,"cold_from":0.3,"cold_us":15000000,
+            "tip_multiple":4.0,"fall_us":1000000},
+            "specifics":{"class_threads":[1,2],"size_cores":[8],"grants_count":true,"takes_priority":true}}""";
+
+    final Server server;
+    private final List<Client> clients = new ArrayList<>();
+    private final CompletableFuture<Void> ended = new CompletableFuture<>();
+
+    Stage(ScriptedFeed feed, ScriptedEngine... engines) throws IOException, FieldException {
+        StringBuilder hosts = new StringBuilder();
+        for (int i = 0; i < engines.length; i++) {
+            hosts.append(i == 0 ? "" : ",").append(host("e" + i, engines[i], "Ready"));
+        }
+        server = new Server(config(feed.port(), event(1, true, hosts.toString())), Clock.systemUTC());
+        ScriptedEngine.daemon(() -> {
+            try {
+                server.run();
+                ended.complete(null);
+            } catch (IOException | RuntimeException e) {
+                ended.completeExceptionally(e);
+            }
+        });
+    }
+
+    static Config config(int feedPort, String event) throws IOException, FieldException {
+        String all = """
+                {"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",
+                "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"feed":"127.0.0.1:%d",
+                "known":{"n":1,"events":[%s]},"settings":%s}""".formatted(feedPort, event, SETTINGS);
+        return Config.read(Json.object(all.getBytes(StandardCharsets.UTF_8), ""));
+    }
+
+    static String event(int number, boolean whole, String hosts) {
+        return "{\"n\":%d,\"members\":{\"seq\":%d,\"whole\":%b,\"hosts\":[%s]}}".formatted(number, number, whole, hosts);
+    }
+
+    static String host(String id, ScriptedEngine engine, String health) {
+        return """
+                {"host":"%s","dial":"127.0.0.1:%d","site":"east","class":"std","block":0,"health":"%s","share":1,"born_ms":0}"""
+                .formatted(id, engine.port(), health);
+    }
+
+    static String fields(String route, int trace, int patienceMs) {
+        return String.format(Locale.ROOT, "/* route=%s,trace=%016x,patience=%d,weight=20.0,est_mb=8 */ ", route, trace,
+                patienceMs);
+    }
+
+    InetSocketAddress address() throws IOException {
+        return server.address();
+    }
+
+    Client client() throws IOException {
+        Client c = Client.ready(address());
+        clients.add(c);
+        return c;
+    }
+
+    /** Waits until the gateway has ended by itself. */
+    void awaitEnd() {
+        ended.orTimeout(8, TimeUnit.SECONDS).join();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Client c : clients) {
+            c.close();
+        }
+        server.abort();
+        awaitEnd();
+    }
+}
