After a silence or a restart no idle connection to that engine is trusted

The logs show the module closing the engine within 3 s; what goes on into it are single trials, and those that met an idle connection (EnginePool.acquire took any that was not closed) were swallowed, where a new connection would have failed in 250 ms as never having run. Changed: a call that breaks or stays silent, a connection that does not come up, and a new start told by the list all close that engine's idle connections. Both new stories fail without it.

--- a/src/main/java/sandpaddle/http/EngineConnection.java
+++ b/src/main/java/sandpaddle/http/EngineConnection.java
@@ -97,6 +97,9 @@
     private void fail(Failure how, String why) {
         boolean maybeSent = connection.startedSending();
         close();
+        if (how != Failure.MALFORMED && call != null) {
+            pool.closeIdle(); // its process or machine may be gone: the other connections are no better
+        }
         if (call != null) {
             take().failed(how, why, maybeSent);
         }
--- a/src/main/java/sandpaddle/http/EnginePool.java
+++ b/src/main/java/sandpaddle/http/EnginePool.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
 import java.nio.ByteBuffer;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Iterator;
@@ -101,6 +100,7 @@
         private void late() {
             connection.close();
             engines.ended();
+            closeIdle(); // a machine that is cut off leaves them open and silent
             waiter.down(Down.UNREACHABLE, "no connection in " + engines.connectTimeout().toMillis() + " ms");
         }
 
--- a/src/main/java/sandpaddle/http/Engines.java
+++ b/src/main/java/sandpaddle/http/Engines.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -15,6 +16,7 @@
 
     private static final class Entry {
         private EnginePool pool;
+        private Instant startedAt;
         private boolean up;
     }
 
@@ -37,8 +39,11 @@
         loop.after(SWEEP, this::sweep);
     }
 
-    /** The list's word on an engine. */
-    public void listed(String id, InetSocketAddress address, boolean up, boolean gone) {
+    /**
+     * The list's word on an engine. Guards against connections of a process that has died without a sign: what
+     * is sent on one of them would count as having run.
+     */
+    public void listed(String id, InetSocketAddress address, Instant startedAt, boolean up, boolean gone) {
         Entry e = entries.computeIfAbsent(id, k -> new Entry());
         if (e.pool == null || !e.pool.address().equals(address)) {
             if (e.pool != null) {
@@ -46,10 +51,11 @@
             }
             e.pool = new EnginePool(loop, this, address);
         }
-        e.up = up;
-        if (gone) {
+        if (gone || !startedAt.equals(e.startedAt)) {
             e.pool.closeIdle();
         }
+        e.up = up;
+        e.startedAt = startedAt;
     }
 
     /** Whether the list allows new work on it. */
--- a/src/main/java/sandpaddle/mysql/PacketReader.java
+++ b/src/main/java/sandpaddle/mysql/PacketReader.java
@@ -37,7 +37,8 @@
         }
         int length = buffer[from] & 0xFF | (buffer[from + 1] & 0xFF) << 8 | (buffer[from + 2] & 0xFF) << 16;
         if (length > MOST_BYTES) {
-            throw new ProtocolException(SqlError.ER_NET_PACKET_TOO_LARGE, "packet of " + length + " bytes, more than " + MOST_BYTES);
+            throw new ProtocolException(SqlError.ER_NET_PACKET_TOO_LARGE,
+                    "packet of " + length + " bytes, more than " + MOST_BYTES);
         }
         if (to - from < HEADER + length) {
             return null;
--- a/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -55,7 +55,8 @@
         List<Gateway.EngineEntry> entries = new ArrayList<>();
         for (ListEvent.Host h : change.hosts()) {
             Gateway.Status status = h.entry().status();
-            engines.listed(h.entry().id(), h.address(), status == Gateway.Status.UP, status == Gateway.Status.GONE);
+            engines.listed(h.entry().id(), h.address(), Micros.instant(h.entry().startedUs()),
+                    status == Gateway.Status.UP, status == Gateway.Status.GONE);
             entries.add(h.entry());
         }
         Gateway.ListKind kind = !change.whole() ? Gateway.ListKind.CHANGES
@@ -79,7 +80,8 @@
             answer.accept(new Answer.Invalid("trace " + query.trace() + " is that of an open query"));
             return () -> { };
         }
-        Exchange x = new Exchange(query.trace() + "-" + serial++, query, cls, loop.now().plus(query.patience()), answer);
+        String id = query.trace() + "-" + serial++;
+        Exchange x = new Exchange(id, query, cls, loop.now().plus(query.patience()), answer);
         exchanges.put(x.id, x);
         x.overdue = loop.at(x.expiresAt.plus(OVERDUE), () -> overdue(x));
         tell(new Gateway.Request(x.id, cls, null, Micros.of(query.patience()), Micros.of(query.work()),
--- a/src/test/java/sandpaddle/decide/RuleChecker.java
+++ b/src/test/java/sandpaddle/decide/RuleChecker.java
@@ -120,7 +120,8 @@
 
     private void close(long now, Taken t) {
         check(!t.over, "rule 1: second final answer: " + t.request.id());
-        check(now <= t.takenAt + t.request.expiresInUs() + s.rules().answerSlackUs(), "rule 1: late: " + t.request.id());
+        check(now <= t.takenAt + t.request.expiresInUs() + s.rules().answerSlackUs(),
+                "rule 1: late: " + t.request.id());
         t.over = true;
     }
 
--- a/src/test/java/sandpaddle/http/HttpTest.java
+++ b/src/test/java/sandpaddle/http/HttpTest.java
@@ -26,7 +26,8 @@
     @Test
     public void answersAreReadHoweverTheyAreCut() throws Exception {
         String first = "HTTP/1.1 200 OK\r\nResult-Pages: 3\r\ncontent-length: 4\r\n\r\nab\nc";
-        String chunked = "HTTP/1.1 100 -\r\n\r\nHTTP/1.1 202 \nTransfer-Encoding: chunked\n\n2;x\r\nde\r\n1\r\nf\r\n0\r\n\r\n";
+        String chunked = "HTTP/1.1 100 -\r\n\r\nHTTP/1.1 202 \nTransfer-Encoding: chunked\n\n"
+                + "2;x\r\nde\r\n1\r\nf\r\n0\r\n\r\n";
         ResponseParser parser = new ResponseParser();
         List<Response> read = new ArrayList<>();
         for (char c : (first + chunked + "HTTP/1.1 204 -\r\n\r\n").toCharArray()) {
@@ -84,10 +85,10 @@
             Loop loop = new Loop(Clock.systemUTC());
             Engines engines = new Engines(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 10);
             InetSocketAddress at = (InetSocketAddress) engine.getLocalSocketAddress();
-            engines.listed("e", at, true, false);
+            engines.listed("e", at, Instant.EPOCH, true, false);
             Heard heard = new Heard();
             engines.start("e", order(loop), heard);
-            engines.listed("e", at, false, false);
+            engines.listed("e", at, Instant.EPOCH, false, false);
             assertEquals(heard.await(loop).getClass(), AttemptEnd.NotSent.class);
         }
     }
@@ -101,7 +102,7 @@
         }
         Loop loop = new Loop(Clock.systemUTC());
         Engines engines = new Engines(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 10);
-        engines.listed("e", nobody, true, false);
+        engines.listed("e", nobody, Instant.EPOCH, true, false);
         Heard heard = new Heard();
         engines.start("e", order(loop), heard);
         assertEquals(heard.await(loop).getClass(), AttemptEnd.NotConnected.class);
@@ -113,7 +114,8 @@
         try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             Loop loop = new Loop(Clock.systemUTC());
             Engines engines = new Engines(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 1);
-            engines.listed("e", (InetSocketAddress) engine.getLocalSocketAddress(), true, false);
+            engines.listed("e", (InetSocketAddress) engine.getLocalSocketAddress(), Instant.EPOCH, true,
+                    false);
             Heard first = new Heard();
             Heard second = new Heard();
             engines.start("e", order(loop), first);
--- a/src/test/java/sandpaddle/mysql/StatementTest.java
+++ b/src/test/java/sandpaddle/mysql/StatementTest.java
@@ -40,9 +40,13 @@
         assertEquals(ask.query().patience(), Duration.ofMillis(1500));
     }
 
+    private static Statement parsed(String text) {
+        return Statement.parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
     @Test
     public void killNamesItsConnection() {
-        assertEquals(Statement.parse(" kill query 12 ;".getBytes(StandardCharsets.UTF_8)), new Statement.Kill(true, 12));
-        assertEquals(Statement.parse("KILL 3".getBytes(StandardCharsets.UTF_8)), new Statement.Kill(false, 3));
+        assertEquals(parsed(" kill query 12 ;"), new Statement.Kill(true, 12));
+        assertEquals(parsed("KILL 3"), new Statement.Kill(false, 3));
     }
 }
--- a/src/test/java/sandpaddle/story/GatewayStories.java
+++ b/src/test/java/sandpaddle/story/GatewayStories.java
@@ -9,6 +9,8 @@
 import static sandpaddle.story.ScriptedEngine.ok;
 
 import java.io.ByteArrayOutputStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
 /** What clients and engines see of a gateway, one story for each way in which it could go wrong. */
@@ -44,8 +46,9 @@
     /** Guards against a connection that breaks while the query runs on: it is bound to none. */
     @Test
     public void aBrokenPollIsAskedAgainOnAnotherConnection() throws Exception {
-        try (var engine = new ScriptedEngine(c -> c.is("POST") ? NOT_YET : c.connection() == 1 ? BREAK : ok("a\tb\tc\n"));
-                var feed = new ScriptedFeed(); var stage = new Stage(feed, engine)) {
+        try (var engine = new ScriptedEngine(c -> c.is("POST") ? NOT_YET
+                : c.connection() == 1 ? BREAK : ok("a\tb\tc\n")); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
             assertEquals(stage.client().ask(Stage.fields("load", 1, 5000) + SQL), "a|b|c");
             engine.next("POST");
             assertEquals(engine.count("POST"), 0, "a load must never run twice");
@@ -159,8 +162,9 @@
     /** Guards against a feed that stands still: an engine that drains must be known within seconds. */
     @Test
     public void aSilentOrMalformedFeedIsAskedAgainFromTheLastNumber() throws Exception {
-        try (var first = new ScriptedEngine(c -> ok("first\t\t\n")); var second = new ScriptedEngine(c -> ok("2nd\t\t\n"));
-                var feed = new ScriptedFeed(); var stage = new Stage(feed, first)) {
+        try (var first = new ScriptedEngine(c -> ok("first\t\t\n"));
+                var second = new ScriptedEngine(c -> ok("2nd\t\t\n")); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, first)) {
             assertEquals(feed.accept().subscription(), "SUB 1"); // and then says nothing
             var link = feed.accept();
             assertEquals(link.subscription(), "SUB 1");
@@ -179,6 +183,58 @@
         }
     }
 
+    /** Guards against sending on a connection of a process that died unseen: a load sent on it is lost. */
+    @Test
+    public void aRestartedEngineIsSentNothingOnItsOldConnections() throws Exception {
+        try (var engine = new ScriptedEngine(c -> ok("a\tb\tc\n")); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            var client = stage.client();
+            client.ask(Stage.fields("lookup", 1, 5000) + SQL);
+            client.ask(Stage.fields("lookup", 2, 5000) + SQL);
+            assertEquals(engine.next("POST").connection(), engine.next("POST").connection());
+            var link = feed.accept();
+            link.line(Stage.event(2, false, Stage.host("e0", engine, "Ready", 1)));
+            link.line("9");
+            assertEquals(feed.accept().subscription(), "SUB 2"); // so the event was heard
+            client.ask(Stage.fields("lookup", 3, 5000) + SQL);
+            assertEquals(engine.next("POST").connection(), 2);
+        }
+    }
+
+    /** Guards against sending more into a machine that was cut off: its idle connections stay open and silent. */
+    @Test
+    public void afterASilenceNoIdleConnectionIsTrusted() throws Exception {
+        CountDownLatch both = new CountDownLatch(2);
+        try (var engine = new ScriptedEngine(c -> {
+            both.countDown();
+            awaitZero(both);
+            return ok("a\tb\tc\n");
+        }); var feed = new ScriptedFeed(); var stage = new Stage(feed, engine)) {
+            var one = stage.client();
+            var two = stage.client();
+            one.write(Client.query(Stage.fields("lookup", 1, 5000) + SQL));
+            two.write(Client.query(Stage.fields("lookup", 2, 5000) + SQL));
+            assertEquals(engine.next("POST").connection() + engine.next("POST").connection(), 1 + 2);
+            assertEquals(one.answer() + two.answer(), "a|b|ca|b|c");
+            engine.script(c -> c.is("POST") ? SILENT : ok("a\tb\tc\n"));
+            assertEquals(one.ask(Stage.fields("load", 3, 5000) + SQL), "a|b|c");
+            engine.script(c -> c.connection() < 3 ? SILENT : ok("a\tb\tc\n"));
+            one.write(Client.query(Stage.fields("lookup", 4, 5000) + SQL));
+            two.write(Client.query(Stage.fields("lookup", 5, 5000) + SQL));
+            engine.next("POST");
+            assertTrue(engine.next("POST").connection() >= 3);
+            assertTrue(engine.next("POST").connection() >= 3);
+        }
+    }
+
+    private static void awaitZero(CountDownLatch latch) {
+        try {
+            latch.await(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Guards requests that come after the order to end: they are taken, answered, and then the process ends. */
     @Test
     public void askedToEndItTakesRequestsThroughTheGraceAndAnswersAll() throws Exception {
--- a/src/test/java/sandpaddle/story/Stage.java
+++ b/src/test/java/sandpaddle/story/Stage.java
@@ -58,13 +58,18 @@
     }
 
     static String event(int number, boolean whole, String hosts) {
-        return "{\"n\":%d,\"members\":{\"seq\":%d,\"whole\":%b,\"hosts\":[%s]}}".formatted(number, number, whole, hosts);
+        return "{\"n\":%d,\"members\":{\"seq\":%d,\"whole\":%b,\"hosts\":[%s]}}"
+                .formatted(number, number, whole, hosts);
     }
 
     static String host(String id, ScriptedEngine engine, String health) {
+        return host(id, engine, health, 0);
+    }
+
+    static String host(String id, ScriptedEngine engine, String health, long bornMs) {
         return """
-                {"host":"%s","dial":"127.0.0.1:%d","site":"east","class":"std","block":0,"health":"%s","share":1,"born_ms":0}"""
-                .formatted(id, engine.port(), health);
+                {"host":"%s","dial":"127.0.0.1:%d","site":"east","class":"std","block":0,"health":"%s","share":1,
+                "born_ms":%d}""".formatted(id, engine.port(), health, bornMs).replace("\n", "");
     }
 
     static String fields(String route, int trace, int patienceMs) {
