Ready once a list is known; whole lists retire the rest; side calls in a class of their own

Read through: a gateway started without a known list answered PING and refused everything (Session.packet); engines that a whole list no longer names kept their pool and counted as up when a connection came up (Dispatcher.listed); an answer that comes before its call was written whole left the rest of the call in the connection (EngineConnection.answered). One new story. Attempt and Dispatcher lose the DELETE/PUT calls and the translation of ends to SideCall and Ends.

--- a/src/main/java/sandpaddle/config/Config.java
+++ b/src/main/java/sandpaddle/config/Config.java
@@ -31,7 +31,7 @@
         try {
             return read(Json.object(Files.readAllBytes(Path.of(file)), ""));
         } catch (IOException e) {
-            throw new FieldException(file + " cannot be read: " + e.getMessage());
+            throw new FieldException(FILE + " names " + file + ", which cannot be read: " + e);
         }
     }
 
--- a/src/main/java/sandpaddle/feed/Feed.java
+++ b/src/main/java/sandpaddle/feed/Feed.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import org.tinylog.Logger;
 import sandpaddle.config.FieldException;
 import sandpaddle.config.Json;
@@ -26,6 +27,8 @@
     private static final Duration AGAIN_FIRST = Duration.ofMillis(50);
     private static final Duration AGAIN_MOST = Duration.ofMillis(800);
 
+    private static final Pattern NUMBER = Pattern.compile("\\d{1,18}");
+
     private final Loop loop;
     private final InetSocketAddress address;
     private final Names names;
@@ -101,7 +104,7 @@
             if (text.isEmpty()) {
                 return;
             }
-            if (text.matches("\\d{1,18}")) {
+            if (NUMBER.matcher(text).matches()) {
                 again = AGAIN_FIRST;
                 if (Long.parseLong(text) > last) {
                     end("events up to " + text + " were missed");
--- a/src/main/java/sandpaddle/http/Attempt.java
+++ b/src/main/java/sandpaddle/http/Attempt.java
@@ -29,7 +29,7 @@
     private static final int MOST_PAGES = 64;
     private static final int MOST_BYTES = 256 * 1024;
     /** An engine answers a poll after 250 ms, and gives up a query not asked for in 2 s. */
-    private static final Duration SILENT = Duration.ofMillis(900);
+    static final Duration SILENT = Duration.ofMillis(900);
     private static final Duration AGAIN = Duration.ofMillis(100); // between tries to reach a silent engine
     /** An engine that could not be reached for so long has given the query up, or has died with it. */
     private static final Duration FORGOTTEN = Duration.ofMillis(2500);
@@ -254,73 +254,17 @@
             connection.abandon();
             connection = null;
         }
-        delete(as);
+        SideCall.make(engines, pool, Requests.delete(pool.host(), order.trace()), () -> end(as));
         if (atOnce || order.isLast()) {
             end(as);
         }
     }
 
-    private void told(AttemptEnd as) {
-        engines.deleting(-1);
-        end(as);
-    }
-
-    private void delete(AttemptEnd as) {
-        engines.deleting(1);
-        pool.acquire(new EnginePool.Waiter() {
-            @Override
-            public void up(EngineConnection c) {
-                c.call(Requests.delete(pool.host(), order.trace()), SILENT, new EngineConnection.Call() {
-                    @Override
-                    public void written() {
-                        end(as);
-                    }
-
-                    @Override
-                    public void answered(Response r) {
-                        told(as);
-                    }
-
-                    @Override
-                    public void failed(EngineConnection.Failure how, String why, boolean maybeSent) {
-                        told(as);
-                    }
-                });
-            }
-
-            @Override
-            public void down(EnginePool.Down how, String why) {
-                told(as); // nobody there to be told; the engine drops what is not asked for
-            }
-        });
-    }
-
-    /** Changes the priority of what is out, on a connection other than the one in a long poll. */
+    /** Changes the priority of what is out. */
     public void priority(int priority) {
-        if (phase != Phase.OUT) {
-            return;
+        if (phase == Phase.OUT) {
+            SideCall.make(engines, pool, Requests.priority(pool.host(), order.trace(), priority), () -> { });
         }
-        pool.acquire(new EnginePool.Waiter() {
-            @Override
-            public void up(EngineConnection c) {
-                c.call(Requests.priority(pool.host(), order.trace(), priority), SILENT, new EngineConnection.Call() {
-                    @Override
-                    public void answered(Response r) {
-                        // the call is its own end
-                    }
-
-                    @Override
-                    public void failed(EngineConnection.Failure how, String why, boolean maybeSent) {
-                        // the query runs on with the priority that it has
-                    }
-                });
-            }
-
-            @Override
-            public void down(EnginePool.Down how, String why) {
-                // as above
-            }
-        });
     }
 
     private void end(AttemptEnd how) {
--- a/src/main/java/sandpaddle/http/EngineConnection.java
+++ b/src/main/java/sandpaddle/http/EngineConnection.java
@@ -79,7 +79,7 @@
 
     private void answered(Response r, boolean more) {
         Call ended = take();
-        if (more || !r.keepAlive()) {
+        if (more || !r.keepAlive() || connection.unsent() > 0) { // answered before the call was whole
             close();
         } else {
             pool.release(this);
--- a/src/main/java/sandpaddle/http/Engines.java
+++ b/src/main/java/sandpaddle/http/Engines.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import sandpaddle.net.Loop;
 
@@ -24,7 +25,7 @@
     private final Duration connectTimeout, idleMost;
     private final int mostConnections;
     private final Map<String, Entry> entries = new HashMap<>();
-    private int connections, deletes;
+    private int connections, sideCalls;
 
     public Engines(Loop loop, Duration connectTimeout, Duration engineIdle, int mostConnections) {
         this.loop = loop;
@@ -58,6 +59,16 @@
         e.startedAt = startedAt;
     }
 
+    /** A whole list was told: what it lacks is gone. */
+    public void keepOnly(Set<String> ids) {
+        entries.forEach((id, e) -> {
+            if (!ids.contains(id)) {
+                e.up = false;
+                e.pool.closeIdle();
+            }
+        });
+    }
+
     /** Whether the list allows new work on it. */
     public boolean isUp(String id) {
         Entry e = entries.get(id);
@@ -94,13 +105,13 @@
         return connections < mostConnections;
     }
 
-    void deleting(int more) {
-        deletes += more;
+    void sideCalls(int more) {
+        sideCalls += more;
     }
 
     /** Whether every engine that was to be told to stop has been told. */
     public boolean isIdle() {
-        return deletes == 0;
+        return sideCalls == 0;
     }
 
     void opened() {
--- a/src/main/java/sandpaddle/http/Response.java
+++ b/src/main/java/sandpaddle/http/Response.java
@@ -1,9 +1,12 @@
 package sandpaddle.http;
 
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** A whole answer; the names of headers are in lower case. */
 record Response(int status, Map<String, String> headers, byte[] body, boolean keepAlive) {
+    private static final Pattern NUMBER = Pattern.compile("\\d{1,9}");
+
     String header(String name) {
         return headers.get(name);
     }
@@ -14,6 +17,6 @@
         if (text == null) {
             return otherwise;
         }
-        return text.matches("\\d{1,9}") ? Integer.parseInt(text) : -1;
+        return NUMBER.matcher(text).matches() ? Integer.parseInt(text) : -1;
     }
 }
--- a/src/main/java/sandpaddle/http/ResponseParser.java
+++ b/src/main/java/sandpaddle/http/ResponseParser.java
@@ -6,11 +6,13 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** Reads one answer of HTTP/1.1 after the other from a stream of bytes, however they come. */
 final class ResponseParser {
     static final int MOST_HEAD = 16 * 1024;
     static final int MOST_BODY = 64 * 1024;
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d( .*)?");
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
@@ -92,7 +94,7 @@
     }
 
     private void status(String text) throws MalformedException {
-        if (!text.matches("HTTP/1\\.[01] [1-5]\\d\\d( .*)?")) {
+        if (!STATUS_LINE.matcher(text).matches()) {
             throw new MalformedException("no status line");
         }
         http10 = text.startsWith("HTTP/1.0");
--- a/src/main/java/sandpaddle/mysql/Session.java
+++ b/src/main/java/sandpaddle/mysql/Session.java
@@ -96,7 +96,9 @@
         String rest = new String(p.payload(), 1, p.payload().length - 1, StandardCharsets.UTF_8);
         switch (p.payload()[0]) {
             case COM_QUIT -> end(new byte[0]);
-            case COM_PING, COM_RESET_CONNECTION -> send(Messages.ok(1));
+            case COM_PING -> send(frontend.service().isReady() ? Messages.ok(1)
+                    : Messages.error(1, SqlError.ER_UNKNOWN_ERROR, "not ready: no engine list yet"));
+            case COM_RESET_CONNECTION -> send(Messages.ok(1));
             case COM_INIT_DB -> send(rest.equals(Frontend.DATABASE) ? Messages.ok(1)
                     : Messages.error(1, SqlError.ER_BAD_DB_ERROR, "Unknown database '" + rest + "'"));
             case COM_QUERY -> query(Arrays.copyOfRange(p.payload(), 1, p.payload().length));
--- a/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.tinylog.Logger;
 import sandpaddle.config.ListEvent;
 import sandpaddle.config.Names;
@@ -17,7 +18,6 @@
 import sandpaddle.http.AttemptEnd;
 import sandpaddle.http.AttemptOrder;
 import sandpaddle.http.Engines;
-import sandpaddle.http.ProbeEnd;
 import sandpaddle.net.Loop;
 
 /**
@@ -61,10 +61,18 @@
         }
         Gateway.ListKind kind = !change.whole() ? Gateway.ListKind.CHANGES
                 : listSeen ? Gateway.ListKind.FULL : Gateway.ListKind.CACHED;
-        listSeen = true;
+        listSeen |= change.whole();
+        if (change.whole()) {
+            engines.keepOnly(entries.stream().map(Gateway.EngineEntry::id).collect(Collectors.toSet()));
+        }
         tell(new Gateway.EngineList(kind, entries));
     }
 
+    @Override
+    public boolean isReady() {
+        return listSeen;
+    }
+
     @Override
     public Ticket submit(Query query, Consumer<Answer> answer) {
         int cls = names.routes().indexOf(query.route());
@@ -224,7 +232,7 @@
         Attempt begun = engines.start(a.engine(), order, new Attempt.Listener() {
             @Override
             public void note(String topic, double value) {
-                Gateway.Topic t = topic(topic);
+                Gateway.Topic t = Ends.topic(topic);
                 if (t != null) {
                     tell(new Gateway.Note(x.id, number, t, value));
                 }
@@ -240,44 +248,13 @@
         x.out = ended[0] ? null : begun;
     }
 
-    private static Gateway.Topic topic(String name) {
-        return switch (name) {
-            case "frac" -> Gateway.Topic.PROGRESS;
-            case "missing" -> Gateway.Topic.SPILL;
-            case "parked" -> Gateway.Topic.WAIT;
-            default -> null;
-        };
-    }
-
     private void ended(Exchange x, int number, String engine, AttemptEnd end, Duration elapsed) {
-        String stats = null;
-        Gateway.Result result;
         if (end instanceof AttemptEnd.Done d) {
-            result = Gateway.Result.OK;
-            stats = d.stats();
             x.answer(new Answer.Served(d.rows()));
-        } else if (end instanceof AttemptEnd.Declined d) {
-            result = Gateway.Result.FULL;
-            stats = d.stats();
-        } else if (end instanceof AttemptEnd.Lapsed l) {
-            result = Gateway.Result.MOOT;
-            stats = l.stats();
-        } else if (end instanceof AttemptEnd.NotSent) {
-            result = Gateway.Result.MOOT;
-        } else if (end instanceof AttemptEnd.NotConnected) {
-            result = Gateway.Result.CONNECT_FAILED;
-        } else if (end instanceof AttemptEnd.Errored e) {
-            result = Gateway.Result.ERROR;
-            stats = e.stats();
-        } else if (end instanceof AttemptEnd.Broken) {
-            result = Gateway.Result.RESET;
-        } else if (end instanceof AttemptEnd.TimedOut) {
-            result = Gateway.Result.TIMEOUT;
-        } else {
-            result = Gateway.Result.CANCELLED;
         }
+        Gateway.Result result = Ends.result(end);
         x.mayHaveRun |= !result.neverRan();
-        outcome(x, number, engine, result, elapsed, stats);
+        outcome(x, number, engine, result, elapsed, Ends.stats(end));
         tidy(x);
     }
 
@@ -288,20 +265,10 @@
 
     private void probe(String engine) {
         Instant from = loop.now();
-        engines.probe(engine, end -> tell(new Gateway.ProbeResult(engine, result(end.kind()),
+        engines.probe(engine, end -> tell(new Gateway.ProbeResult(engine, Ends.result(end.kind()),
                 Micros.of(Duration.between(from, loop.now())), Stats.read(end.stats(), names.reportFields()))));
     }
 
-    private static Gateway.Result result(ProbeEnd.Kind kind) {
-        return switch (kind) {
-            case WELL -> Gateway.Result.OK;
-            case UNWELL -> Gateway.Result.ERROR;
-            case NOT_CONNECTED -> Gateway.Result.CONNECT_FAILED;
-            case BROKEN -> Gateway.Result.RESET;
-            case TIMED_OUT -> Gateway.Result.TIMEOUT;
-        };
-    }
-
     /** Forgets a query that is over with nothing out. */
     private void tidy(Exchange x) {
         if (x.isOver() && x.out == null && exchanges.remove(x.id) != null) {
--- a/src/main/java/sandpaddle/serve/QueryService.java
+++ b/src/main/java/sandpaddle/serve/QueryService.java
@@ -10,6 +10,9 @@
         void leave();
     }
 
+    /** Whether it knows engines to send to: a front that asks before should ask again. */
+    boolean isReady();
+
     /** Takes a query; the answer comes once, in this call or in a later turn of the loop. */
     Ticket submit(Query query, Consumer<Answer> answer);
 }
--- a/src/test/java/sandpaddle/story/GatewayStories.java
+++ b/src/test/java/sandpaddle/story/GatewayStories.java
@@ -159,6 +159,29 @@
         }
     }
 
+    /** Guards against being admitted before it can serve, and engines that a whole list no longer names. */
+    @Test
+    public void itIsReadyOnceItKnowsAListAndFollowsTheNextOne() throws Exception {
+        try (var first = new ScriptedEngine(c -> ok("first\t\t\n"));
+                var second = new ScriptedEngine(c -> ok("2nd\t\t\n")); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, "")) {
+            var link = feed.accept();
+            assertEquals(link.subscription(), "SUB 0");
+            var client = stage.client();
+            client.write(Client.command(14, ""));
+            assertEquals(client.answer(), "1105 not ready: no engine list yet");
+            link.line(Stage.event(1, true, Stage.host("a", first, "Ready")));
+            link.line("9");
+            feed.accept().line(Stage.event(2, true, Stage.host("b", second, "Ready")));
+            client.write(Client.command(14, ""));
+            assertEquals(client.answer(), "ok");
+            while (!client.ask(Stage.fields("lookup", 1, 5000) + SQL).equals("2nd||")) {
+                assertTrue(first.count("POST") < 1000, "the second list was never heard");
+            }
+            assertEquals(client.ask(Stage.fields("lookup", 2, 5000) + SQL), "2nd||");
+        }
+    }
+
     /** Guards against a feed that stands still: an engine that drains must be known within seconds. */
     @Test
     public void aSilentOrMalformedFeedIsAskedAgainFromTheLastNumber() throws Exception {
--- a/src/test/java/sandpaddle/story/Stage.java
+++ b/src/test/java/sandpaddle/story/Stage.java
@@ -9,6 +9,8 @@
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import sandpaddle.config.Config;
 import sandpaddle.config.FieldException;
 import sandpaddle.config.Json;
@@ -34,11 +36,13 @@
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
     Stage(ScriptedFeed feed, ScriptedEngine... engines) throws IOException, FieldException {
-        StringBuilder hosts = new StringBuilder();
-        for (int i = 0; i < engines.length; i++) {
-            hosts.append(i == 0 ? "" : ",").append(host("e" + i, engines[i], "Ready"));
-        }
-        server = new Server(config(feed.port(), event(1, true, hosts.toString())), Clock.systemUTC());
+        this(feed, event(1, true, IntStream.range(0, engines.length).mapToObj(i -> host("e" + i, engines[i], "Ready"))
+                .collect(Collectors.joining(","))));
+    }
+
+    /** With what is known at the start: an event, or nothing. */
+    Stage(ScriptedFeed feed, String known) throws IOException, FieldException {
+        server = new Server(config(feed.port(), known), Clock.systemUTC());
         ScriptedEngine.daemon(() -> {
             try {
                 server.run();
@@ -53,7 +57,7 @@
         String all = """
                 {"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",
                 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"feed":"127.0.0.1:%d",
-                "known":{"n":1,"events":[%s]},"settings":%s}""".formatted(feedPort, event, SETTINGS);
+                "known":{"events":[%s]},"settings":%s}""".formatted(feedPort, event, SETTINGS);
         return Config.read(Json.object(all.getBytes(StandardCharsets.UTF_8), ""));
     }
 
