Polls that are not held are paced; a slow client is kept while it reads

A client that reads 48 KB slower than in 30 s would have been cut off (Session.send); now only one that reads nothing for 30 s is.

--- a/src/main/java/sandpaddle/http/Attempt.java
+++ b/src/main/java/sandpaddle/http/Attempt.java
@@ -30,6 +30,7 @@
     private static final int MOST_BYTES = 256 * 1024;
     /** An engine answers a poll after 250 ms, and gives up a query not asked for in 2 s. */
     static final Duration SILENT = Duration.ofMillis(900);
+    private static final Duration HELD_LEAST = Duration.ofMillis(50);
     private static final Duration AGAIN = Duration.ofMillis(100); // between tries to reach a silent engine
     /** An engine that could not be reached for so long has given the query up, or has died with it. */
     private static final Duration FORGOTTEN = Duration.ofMillis(2500);
@@ -51,6 +52,7 @@
     private boolean everSent; // a byte of the POST may have left
     private String stats;
     private Instant reachedAt; // when the engine was last reached
+    private Instant askedAt; // when the call that is out began
 
     Attempt(Loop loop, Engines engines, String engine, AttemptOrder order, Listener listener) {
         this.loop = loop;
@@ -92,6 +94,7 @@
 
     private void call(EngineConnection c, byte[] request, int page) {
         connection = c;
+        askedAt = loop.now();
         reachedAt = reachedAt == null ? loop.now() : reachedAt;
         c.call(request, SILENT, new EngineConnection.Call() {
             @Override
@@ -174,7 +177,7 @@
             page(r, page);
         } else if (r.status() == NOT_YET && page == 0) {
             note(r);
-            ask(0);
+            pace(r.header("x-result") != null);
         } else if (r.status() == FULL && declined) {
             end(new AttemptEnd.Declined(stats));
         } else if (r.status() == OVER && declined) {
@@ -186,6 +189,19 @@
         }
     }
 
+    /** Guards the one core against an engine that does not hold its answers: it is asked again a little later. */
+    private void pace(boolean noted) {
+        if (noted || askedAt.plus(HELD_LEAST).isBefore(loop.now())) {
+            ask(0);
+        } else {
+            loop.after(HELD_LEAST, () -> {
+                if (phase == Phase.OUT) {
+                    ask(0);
+                }
+            });
+        }
+    }
+
     private void note(Response r) {
         String topic = r.header("x-result");
         String value = r.header("note-value");
--- a/src/main/java/sandpaddle/mysql/Session.java
+++ b/src/main/java/sandpaddle/mysql/Session.java
@@ -198,14 +198,22 @@
     private void send(byte[] bytes) {
         connection.write(bytes);
         if (connection.unsent() > 0 && stall == null) {
-            stall = loop.after(STALLED, () -> {
-                if (connection.unsent() > 0) {
-                    connection.broken(null);
-                }
-            });
+            watch();
         }
     }
 
+    /** A slow client is waited for as long as it reads at all. */
+    private void watch() {
+        long before = connection.unsent();
+        stall = loop.after(STALLED, () -> {
+            if (connection.unsent() >= before) {
+                connection.broken(null);
+            } else {
+                watch();
+            }
+        });
+    }
+
     @Override
     public void flushed() {
         if (stall != null) {
