--- a/src/main/java/sandpaddle/config/Config.java
+++ b/src/main/java/sandpaddle/config/Config.java
@@ -22,14 +22,15 @@
     private static final long CONNECT_US = 250_000;
     private static final int HEX = 16;
 
-    /** Reads the file that the environment names. */
+    /** Reads the file that the environment names; name and address may come from the environment alone. */
     public static Config load(Map<String, String> environment) throws FieldException {
         String file = environment.get(FILE);
         if (file == null || file.isBlank()) {
             throw new FieldException("environment variable " + FILE + " is not set");
         }
         try {
-            return read(Json.object(Files.readAllBytes(Path.of(file)), ""));
+            return read(Json.object(Files.readAllBytes(Path.of(file)), "").or("name", environment.get("BALANCER_NAME"))
+                    .or("listen", environment.get("BALANCER_LISTEN")));
         } catch (IOException e) {
             throw new FieldException(FILE + " names " + file + ", which cannot be read: " + e);
         }
--- a/src/main/java/sandpaddle/config/Row.java
+++ b/src/main/java/sandpaddle/config/Row.java
@@ -1,6 +1,7 @@
 package sandpaddle.config;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,16 @@
         return new FieldException("field '" + path + field + "' " + what);
     }
 
+    /** The same with a text in place of a field that is absent; null changes nothing. */
+    Row or(String field, String text) {
+        if (has(field) || text == null) {
+            return this;
+        }
+        Map<String, Object> more = new HashMap<>(fields);
+        more.put(field, text);
+        return new Row(path, more);
+    }
+
     private <T> T get(String field, Class<T> type, T otherwise, boolean needed) throws FieldException {
         Object v = fields.get(field);
         if (v == null && !needed) {
--- a/src/main/java/sandpaddle/mysql/Frontend.java
+++ b/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -10,10 +10,11 @@
 import sandpaddle.net.Acceptor;
 import sandpaddle.net.Connection;
 import sandpaddle.net.Loop;
+import sandpaddle.serve.Frontend;
 import sandpaddle.serve.QueryService;
 
 /** Listens for clients of the MySQL protocol and keeps their sessions by connection id. */
-public final class Frontend {
+public final class MysqlFrontend implements Frontend {
     static final String USER = "app";
     static final String DATABASE = "core";
     private static final int SCRAMBLE = 20;
@@ -26,7 +27,7 @@
     private final int mostSessions;
     private int lastId;
 
-    public Frontend(Loop loop, InetSocketAddress address, QueryService service, int mostSessions,
+    public MysqlFrontend(Loop loop, InetSocketAddress address, QueryService service, int mostSessions,
             long seed) throws IOException {
         this.loop = loop;
         this.service = service;
@@ -35,6 +36,7 @@
         acceptor = new Acceptor(loop, address, this::accepted);
     }
 
+    @Override
     public InetSocketAddress address() throws IOException {
         return acceptor.address();
     }
@@ -76,12 +78,13 @@
         sessions.remove(s.id);
     }
 
-    /** No new connections; those without an open query are closed. */
+    @Override
     public void stopListening() {
         acceptor.close();
         closeIdle();
     }
 
+    @Override
     public void closeIdle() {
         for (Session s : List.copyOf(sessions.values())) {
             if (s.isIdle()) {
@@ -90,7 +93,7 @@
         }
     }
 
-    /** Whether every answer has left. */
+    @Override
     public boolean isIdle() {
         return sessions.values().stream().allMatch(Session::isIdle);
     }
--- a/src/main/java/sandpaddle/mysql/Session.java
+++ b/src/main/java/sandpaddle/mysql/Session.java
@@ -22,7 +22,7 @@
     /** A client that does not read its answer for so long holds memory for nothing. */
     private static final Duration STALLED = Duration.ofSeconds(30);
 
-    private final Frontend frontend;
+    private final MysqlFrontend frontend;
     private final Loop loop;
     private final Connection connection;
     private final PacketReader packets = new PacketReader();
@@ -33,7 +33,7 @@
     private boolean busy;
     private Timers.Timer stall;
 
-    Session(Frontend frontend, Loop loop, Connection connection, int id) {
+    Session(MysqlFrontend frontend, Loop loop, Connection connection, int id) {
         this.frontend = frontend;
         this.loop = loop;
         this.connection = connection;
@@ -99,7 +99,7 @@
             case COM_PING -> send(frontend.service().isReady() ? Messages.ok(1)
                     : Messages.error(1, SqlError.ER_UNKNOWN_ERROR, "not ready: no engine list yet"));
             case COM_RESET_CONNECTION -> send(Messages.ok(1));
-            case COM_INIT_DB -> send(rest.equals(Frontend.DATABASE) ? Messages.ok(1)
+            case COM_INIT_DB -> send(rest.equals(MysqlFrontend.DATABASE) ? Messages.ok(1)
                     : Messages.error(1, SqlError.ER_BAD_DB_ERROR, "Unknown database '" + rest + "'"));
             case COM_QUERY -> query(Arrays.copyOfRange(p.payload(), 1, p.payload().length));
             case COM_PROCESS_KILL -> {
@@ -114,9 +114,9 @@
     private void logIn(PacketReader.Packet p) throws ProtocolException {
         Login login = Login.parse(p.payload());
         int seq = p.seq() + 1;
-        if (!login.user().equals(Frontend.USER) || !login.passwordEmpty()) {
+        if (!login.user().equals(MysqlFrontend.USER) || !login.passwordEmpty()) {
             end(Messages.error(seq, SqlError.ER_ACCESS_DENIED_ERROR, "Access denied for user '" + login.user() + "'"));
-        } else if (!login.database().isEmpty() && !login.database().equals(Frontend.DATABASE)) {
+        } else if (!login.database().isEmpty() && !login.database().equals(MysqlFrontend.DATABASE)) {
             end(Messages.error(seq, SqlError.ER_BAD_DB_ERROR, "Unknown database '" + login.database() + "'"));
         } else {
             loggedIn = true;
--- /dev/null
+++ b/src/main/java/sandpaddle/serve/Frontend.java
@@ -0,0 +1,19 @@
+package sandpaddle.serve;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/** One protocol's listening side, as far as the planned end of the process needs it. */
+public interface Frontend {
+    /** Where it listens. */
+    InetSocketAddress address() throws IOException;
+
+    /** No new connections; those without an open query are closed. */
+    void stopListening();
+
+    /** Closes the connections that have no open query. */
+    void closeIdle();
+
+    /** Whether no query is open and every answer has left. */
+    boolean isIdle();
+}
--- a/src/main/java/sandpaddle/serve/Server.java
+++ b/src/main/java/sandpaddle/serve/Server.java
@@ -4,12 +4,13 @@
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.List;
 import org.tinylog.Logger;
 import sandpaddle.config.Config;
 import sandpaddle.decide.Decide;
 import sandpaddle.feed.Feed;
 import sandpaddle.http.Engines;
-import sandpaddle.mysql.Frontend;
+import sandpaddle.mysql.MysqlFrontend;
 import sandpaddle.net.Loop;
 
 /** One gateway: all parts put together, its start and its planned end. */
@@ -27,7 +28,7 @@
     private final Loop loop;
     private final Engines engines;
     private final Dispatcher dispatcher;
-    private final Frontend frontend;
+    private final List<Frontend> frontends;
     private volatile boolean endAsked, aborted;
     private boolean ending, graceOver;
 
@@ -40,9 +41,9 @@
                 config.names(), engines);
         config.known().forEach(dispatcher::listed);
         new Feed(loop, config.feed(), config.names(), config.knownNumber(), dispatcher::listed).start();
-        frontend = new Frontend(loop, config.listen(), dispatcher, forClients + ENDING_CLIENTS,
-                config.seed());
-        Logger.info("{} listens on {}", config.name(), frontend.address());
+        frontends = List.of(new MysqlFrontend(loop, config.listen(), dispatcher, forClients + ENDING_CLIENTS,
+                config.seed()));
+        Logger.info("{} listens on {}", config.name(), address());
     }
 
     /** Runs until the end that was asked for. */
@@ -51,12 +52,12 @@
     }
 
     public InetSocketAddress address() throws IOException {
-        return frontend.address();
+        return frontends.get(0).address();
     }
 
     private void endOfTurn() {
         if (aborted) {
-            frontend.stopListening();
+            frontends.forEach(Frontend::stopListening);
             loop.stop();
         }
         dispatcher.handOn();
@@ -65,14 +66,14 @@
             Logger.info("asked to end");
             loop.after(GRACE, () -> {
                 graceOver = true;
-                frontend.stopListening();
+                frontends.forEach(Frontend::stopListening);
             });
             loop.after(LAST_ANSWERS, dispatcher::endAll);
             loop.after(EXIT, loop::stop);
         }
         if (graceOver) {
-            frontend.closeIdle();
-            if (dispatcher.isIdle() && frontend.isIdle() && engines.isIdle()) {
+            frontends.forEach(Frontend::closeIdle);
+            if (dispatcher.isIdle() && frontends.stream().allMatch(Frontend::isIdle) && engines.isIdle()) {
                 loop.stop();
             }
         }
--- a/src/test/java/sandpaddle/config/ConfigTest.java
+++ b/src/test/java/sandpaddle/config/ConfigTest.java
@@ -24,6 +24,18 @@
         assertEquals(c.settings().limits().maxAttempts(), 5);
     }
 
+    @Test
+    public void whatTheFileLacksComesFromTheEnvironment() throws Exception {
+        Path file = Files.createTempFile("config", ".json");
+        try {
+            Files.writeString(file, Files.readString(EXAMPLE).replace("\"listen\"", "\"heard\""));
+            Config c = Config.load(Map.of("BALANCER_CONFIG", file.toString(), "BALANCER_LISTEN", "127.0.0.1:4406"));
+            assertEquals(c.listen().getPort(), 4406);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
