--- a/src/main/java/sandpaddle/mysql/Login.java
+++ b/src/main/java/sandpaddle/mysql/Login.java
@@ -18,13 +18,12 @@
         int authAt = userEnd + 1;
         int authEnd;
         if ((caps & (Messages.SECURE_CONNECTION | Messages.PLUGIN_AUTH_LENENC)) != 0) {
-            int length = authAt < b.length ? b[authAt] & 0xFF : 0; // one byte in both forms, for any length in use
-            authAt++;
+            int length = authAt < b.length ? b[authAt++] & 0xFF : 0; // one byte in both forms, for any length in use
             authEnd = authAt + length;
         } else {
             authEnd = zero(b, authAt);
         }
-        if (authEnd > b.length + 1) {
+        if (authAt > b.length || authEnd > b.length) {
             throw new ProtocolException(SqlError.ER_HANDSHAKE_ERROR, "login cut short");
         }
         boolean empty = authEnd <= authAt || authEnd == authAt + 1 && b[authAt] == 0;
