--- a/src/test/java/sandpaddle/mysql/StatementTest.java
+++ b/src/test/java/sandpaddle/mysql/StatementTest.java
@@ -18,6 +18,10 @@
             {"INSERT INTO staging_4.t SELECT o_5.a FROM staging.b_9.c, sales_21.orders o_5", 21},
             {"SELECT o_5.day FROM a_b_12.orders AS o_5", 12},
             {"SELECT 1 FROM orders", -1},
+            {"merge into lake_7.events d using staging.delta s on d.id = s.id when matched then update set n = s.n", 7},
+            {"WITH w AS (SELECT * FROM ops_5.visits WHERE tag = 'a') SELECT id, sum(n) FROM w GROUP BY id", 5},
+            {"SELECT id -- was: from mart_1.old\nFROM ops_5.visits LIMIT 500", 5},
+            {"select a.id, 'from lake_0.decoy' as note\n  from ops_2.orders a", 2},
             {"SELECT 'open FROM sales_17.orders", -1},
         };
     }
