SIGHUP reads the configuration again and moves the feed; it ended the JVM before

Main installed no handler, so the JVM's own answer to SIGHUP ran the shutdown hooks (Main.serve). Ruled out: the feed code, which the signal never reached.

Main.onHangUp only wakes the loop; Server.reload reads through config at the end of a turn, applies what the file knows and moves the feed. Feed keeps the former connection until the new one has spoken, and applies an event once whoever tells it. A file that cannot be used is logged with its key. Two JSON texts run together are refused. Server's end is reckoned from the settings' longest deadline: it assumed 3 s (LAST_ANSWERS, EXIT), too late where deadlines are shorter. Feed: silence is acted on after 1.6 s and a break after 10 ms (were 2.2 s and 50 ms).

--- a/src/main/java/sandpaddle/Main.java
+++ b/src/main/java/sandpaddle/Main.java
@@ -9,6 +9,7 @@
 import sandpaddle.config.FieldException;
 import sandpaddle.serve.Server;
 import sandpaddle.sim.Adapter;
+import sun.misc.Signal;
 
 /**
  * Command line: {@code serve} is one real gateway; {@code adapter} speaks the simulator's wire on standard input
@@ -33,7 +34,8 @@
 
     private static void serve() {
         try {
-            Server server = new Server(Config.load(System.getenv()), Clock.systemUTC());
+            Server server = new Server(() -> Config.load(System.getenv()), Clock.systemUTC());
+            onHangUp(server::reloadConfig);
             Thread main = Thread.currentThread();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 server.end();
@@ -53,6 +55,11 @@
         }
     }
 
+    /** Guards against the JVM's own answer to SIGHUP, which is to end. The task runs in a thread of the JVM's. */
+    static void onHangUp(Runnable task) {
+        Signal.handle(new Signal("HUP"), signal -> task.run());
+    }
+
     private static void adapt() {
         try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
             new Adapter(System.in, out).run();
--- a/src/main/java/sandpaddle/config/Config.java
+++ b/src/main/java/sandpaddle/config/Config.java
@@ -53,6 +53,12 @@
                 span(bounds, "conn_idle_us", IDLE_US), span(bounds, "connect_timeout_us", CONNECT_US));
     }
 
+    /** Whether a running gateway can take over all of it: the feed's address and what is known may differ. */
+    public boolean onlyFeedDiffersFrom(Config o) {
+        return equals(new Config(o.name, o.listen, o.seed, o.sockets, feed, knownNumber, known, o.names, o.settings,
+                o.engineIdle, o.connectTimeout));
+    }
+
     private static Gateway.Settings checked(Row settings) throws FieldException {
         try {
             return SettingsReader.read(settings);
--- a/src/main/java/sandpaddle/config/Json.java
+++ b/src/main/java/sandpaddle/config/Json.java
@@ -22,7 +22,11 @@
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new FieldException("expected a JSON object");
             }
-            return new Row(path, fields(in));
+            Row row = new Row(path, fields(in));
+            if (in.nextToken() != null) { // two texts run together are none
+                throw new FieldException("expected one JSON object and nothing after it");
+            }
+            return row;
         }
     }
 
--- a/src/main/java/sandpaddle/feed/Feed.java
+++ b/src/main/java/sandpaddle/feed/Feed.java
@@ -21,20 +21,22 @@
  * that is silent, or that says what cannot be understood, is replaced by one from the last number on.
  */
 public final class Feed {
-    /** A line comes every second; the engine list must be known within a few seconds. */
-    private static final Duration SILENCE = Duration.ofMillis(2200);
+    /** A line comes every second; what a feed that stands still had to tell counts as told soon after. */
+    private static final Duration SILENCE = Duration.ofMillis(1600);
     private static final Duration CONNECT = Duration.ofMillis(800);
-    private static final Duration AGAIN_FIRST = Duration.ofMillis(50);
-    private static final Duration AGAIN_MOST = Duration.ofMillis(800);
+    private static final Duration AGAIN_FIRST = Duration.ofMillis(10);
+    private static final Duration AGAIN_MOST = Duration.ofMillis(400);
 
     private static final Pattern NUMBER = Pattern.compile("\\d{1,18}");
 
     private final Loop loop;
-    private final InetSocketAddress address;
     private final Names names;
     private final Consumer<ListEvent> told;
+    private InetSocketAddress address;
     private long last;
     private Link link;
+    private Link former; // at the address before: heard until the new one has spoken
+    private Timers.Timer restart;
     private Duration again = AGAIN_FIRST;
 
     public Feed(Loop loop, InetSocketAddress address, Names names, long last, Consumer<ListEvent> told) {
@@ -50,9 +52,49 @@
         link.open();
     }
 
+    /**
+     * The feed has another address: it is asked there at once. Guards against missing what the old one still
+     * tells: its connection stays until the new one has spoken, and an event that both tell is applied once.
+     */
+    public void moveTo(InetSocketAddress next) {
+        if (next.equals(address)) {
+            return;
+        }
+        Logger.info("control feed: now at {}, from {}", next, last);
+        address = next;
+        again = AGAIN_FIRST;
+        if (restart != null) {
+            restart.cancel();
+            restart = null;
+        }
+        leaveFormer();
+        former = link.over ? null : link;
+        start();
+    }
+
+    private void leaveFormer() {
+        Link left = former;
+        former = null;
+        if (left != null) {
+            left.leave();
+        }
+    }
+
+    /** Applies an event that is the next one, or that stands for all before it; an old one changes nothing. */
+    public boolean apply(ListEvent event) {
+        if (event.number() > last + 1 && !event.whole()) {
+            return false;
+        }
+        if (event.number() > last) {
+            last = event.number();
+            told.accept(event);
+        }
+        return true;
+    }
+
     private void restart(String why) {
         Logger.info("control feed: {}; once more from {}", why, last);
-        loop.after(again, this::start);
+        restart = loop.after(again, this::start);
         Duration doubled = again.multipliedBy(2);
         again = doubled.compareTo(AGAIN_MOST) < 0 ? doubled : AGAIN_MOST;
     }
@@ -100,6 +142,9 @@
 
         private void line(byte[] line) throws IOException, FieldException {
             listen();
+            if (this == link) {
+                leaveFormer();
+            }
             String text = new String(line, StandardCharsets.UTF_8).strip();
             if (text.isEmpty()) {
                 return;
@@ -112,11 +157,10 @@
                 return;
             }
             ListEvent event = ListEvent.read(Json.object(line, ""), names);
-            if (event.number() > last + 1) {
+            if (apply(event)) {
+                again = AGAIN_FIRST;
+            } else {
                 end("event " + event.number() + " came too early");
-            } else if (event.number() == last + 1) {
-                last = event.number();
-                told.accept(event);
             }
         }
 
@@ -126,14 +170,21 @@
         }
 
         private void end(String why) {
-            if (!over) {
-                over = true;
-                bound.cancel();
-                if (connection != null) {
-                    connection.close();
-                }
+            if (over) {
+                return;
+            }
+            leave();
+            if (this == link) {
                 restart(why);
             }
         }
+
+        private void leave() {
+            over = true;
+            bound.cancel();
+            if (connection != null) {
+                connection.close();
+            }
+        }
     }
 }
--- a/src/main/java/sandpaddle/serve/Server.java
+++ b/src/main/java/sandpaddle/serve/Server.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import org.tinylog.Logger;
 import sandpaddle.config.Config;
+import sandpaddle.config.FieldException;
 import sandpaddle.decide.Decide;
+import sandpaddle.decide.Gateway;
 import sandpaddle.feed.Feed;
 import sandpaddle.http.Engines;
 import sandpaddle.mysql.MysqlFrontend;
@@ -17,9 +19,10 @@
 public final class Server {
     /** After the request to end, connections still arrive for 0.4 s and requests for 0.2 s more. */
     private static final Duration GRACE = Duration.ofMillis(700);
-    /** The kill comes no earlier than 3.7 s after the request to end; by then every answer must be out. */
-    private static final Duration LAST_ANSWERS = Duration.ofMillis(3100);
-    private static final Duration EXIT = Duration.ofMillis(3400);
+    /** The kill comes no earlier than the longest deadline after the grace, of which so much counts. */
+    private static final Duration LONGEST_COUNTED = Duration.ofSeconds(3);
+    private static final Duration LAST_ANSWERS = Duration.ofMillis(300); // before the kill
+    private static final Duration EXIT = Duration.ofMillis(150); // before the kill
     private static final int CLIENTS_PART = 3; // clients hold at most this part of the descriptors
     private static final int OTHER_DESCRIPTORS = 80; // the JVM's files, the selector, the feed, connections ending
 
@@ -29,10 +32,20 @@
     private final Engines engines;
     private final Dispatcher dispatcher;
     private final List<Frontend> frontends;
-    private volatile boolean endAsked, aborted;
+    private final Config config;
+    private final ConfigSource source;
+    private final Feed feed;
+    private volatile boolean endAsked, reloadAsked, aborted;
     private boolean ending, graceOver;
 
-    public Server(Config config, Clock clock) throws IOException {
+    /** Where the configuration is read, now and again. */
+    public interface ConfigSource {
+        Config load() throws FieldException;
+    }
+
+    public Server(ConfigSource source, Clock clock) throws IOException, FieldException {
+        this.source = source;
+        config = source.load();
         loop = new Loop(clock);
         int forClients = config.sockets() / CLIENTS_PART;
         int forEngines = config.sockets() - forClients - OTHER_DESCRIPTORS;
@@ -40,7 +53,8 @@
         dispatcher = new Dispatcher(loop, new Decide(config.settings(), config.seed()), config.settings(),
                 config.names(), engines);
         config.known().forEach(dispatcher::listed);
-        new Feed(loop, config.feed(), config.names(), config.knownNumber(), dispatcher::listed).start();
+        feed = new Feed(loop, config.feed(), config.names(), config.knownNumber(), dispatcher::listed);
+        feed.start();
         frontends = List.of(new MysqlFrontend(loop, config.listen(), dispatcher, forClients + ENDING_CLIENTS,
                 config.seed()));
         Logger.info("{} listens on {}", config.name(), address());
@@ -60,6 +74,10 @@
             frontends.forEach(Frontend::stopListening);
             loop.stop();
         }
+        if (reloadAsked) {
+            reloadAsked = false;
+            reload();
+        }
         dispatcher.handOn();
         if (endAsked && !ending) {
             ending = true;
@@ -68,8 +86,9 @@
                 graceOver = true;
                 frontends.forEach(Frontend::stopListening);
             });
-            loop.after(LAST_ANSWERS, dispatcher::endAll);
-            loop.after(EXIT, loop::stop);
+            Duration kill = GRACE.plus(longestCounted());
+            loop.after(kill.minus(LAST_ANSWERS), dispatcher::endAll);
+            loop.after(kill.minus(EXIT), loop::stop);
         }
         if (graceOver) {
             frontends.forEach(Frontend::closeIdle);
@@ -79,6 +98,39 @@
         }
     }
 
+    private Duration longestCounted() {
+        Duration longest = Micros.span(config.settings().classes().stream()
+                .mapToLong(Gateway.RequestClass::limitUs).max().orElse(0));
+        return longest.compareTo(LONGEST_COUNTED) < 0 ? longest : LONGEST_COUNTED;
+    }
+
+    /**
+     * Takes over what may change under load: the feed's address, and the events that the new file knows. Guards
+     * what is in service against a file that cannot be used: it is named in the log, and the old one goes on.
+     */
+    private void reload() {
+        Config next;
+        try {
+            next = source.load();
+        } catch (FieldException e) {
+            Logger.error("configuration not taken over: {}", e.getMessage());
+            return;
+        }
+        if (!next.onlyFeedDiffersFrom(config)) {
+            Logger.warn("configuration: only 'feed' and 'known' are taken over, the rest at the next start");
+        }
+        if (next.names().equals(config.names())) { // events name things by their position there
+            next.known().forEach(feed::apply);
+        }
+        feed.moveTo(next.feed());
+    }
+
+    /** From any thread: read the configuration again. */
+    public void reloadConfig() {
+        reloadAsked = true;
+        loop.wakeUp();
+    }
+
     /** From any thread: end at once, whatever is open. */
     public void abort() {
         aborted = true;
--- a/src/test/java/sandpaddle/story/GatewayStories.java
+++ b/src/test/java/sandpaddle/story/GatewayStories.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
+import sandpaddle.config.FieldException;
 
 /** What clients and engines see of a gateway, one story for each way in which it could go wrong. */
 public class GatewayStories {
@@ -229,6 +230,35 @@
         }
     }
 
+    /** Guards what is in flight and what is known when the feed moves: SIGHUP brings a new file under load. */
+    @Test
+    public void aNewFeedAddressIsFollowedFromTheLastNumberAndTheOldOneIsLeft() throws Exception {
+        try (var first = new ScriptedEngine(c -> c.is("POST") ? NOT_YET : SILENT);
+                var second = new ScriptedEngine(c -> ok("2nd\t\t\n")); var feed = new ScriptedFeed();
+                var moved = new ScriptedFeed(); var stage = new Stage(feed, first)) {
+            var open = stage.client();
+            open.write(Client.query(Stage.fields("load", 1, 7000) + SQL));
+            first.next("POST");
+            var link = feed.accept();
+            stage.reload(() -> {
+                throw new FieldException("field 'feed' is missing"); // a bad file: the old feed is heard on
+            });
+            link.line(Stage.event(2, false, Stage.host("new", second, "Ready")));
+            link.line("9");
+            link = feed.accept();
+            assertEquals(link.subscription(), "SUB 2"); // so the event was heard
+            stage.reload(() -> Stage.config(moved.port(), ""));
+            var next = moved.accept();
+            assertEquals(next.subscription(), "SUB 2");
+            next.line(Stage.event(2, false, Stage.host("e0", first, "Ready"))); // told twice: applied once
+            next.line(Stage.event(3, false, Stage.host("e0", first, "Terminating")));
+            assertTrue(link.isLeft());
+            assertEquals(stage.client().ask(Stage.fields("lookup", 2, 5000) + SQL), "2nd||");
+            first.script(c -> ok("first\t\t\n"));
+            assertEquals(open.answer(), "first||");
+        }
+    }
+
     /** Guards against sending on a connection of a process that died unseen: a load sent on it is lost. */
     @Test
     public void aRestartedEngineIsSentNothingOnItsOldConnections() throws Exception {
--- a/src/test/java/sandpaddle/story/ScriptedFeed.java
+++ b/src/test/java/sandpaddle/story/ScriptedFeed.java
@@ -12,6 +12,11 @@
 final class ScriptedFeed implements AutoCloseable {
     /** One connection, whose first line was read. */
     record Link(Socket socket, String subscription) {
+        /** Waits until the gateway has left. */
+        boolean isLeft() throws IOException {
+            return socket.getInputStream().read() < 0;
+        }
+
         void line(String text) throws IOException {
             socket.getOutputStream().write((text + "\n").getBytes(StandardCharsets.UTF_8));
         }
--- a/src/test/java/sandpaddle/story/Stage.java
+++ b/src/test/java/sandpaddle/story/Stage.java
@@ -32,6 +32,7 @@
             "specifics":{"class_threads":[1,2],"size_cores":[8],"grants_count":true,"takes_priority":true}}""";
 
     final Server server;
+    private volatile Server.ConfigSource source;
     private final List<Client> clients = new ArrayList<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
@@ -42,7 +43,8 @@
 
     /** With what is known at the start: an event, or nothing. */
     Stage(ScriptedFeed feed, String known) throws IOException, FieldException {
-        server = new Server(config(feed.port(), known), Clock.systemUTC());
+        source = () -> config(feed.port(), known);
+        server = new Server(() -> source.load(), Clock.systemUTC());
         ScriptedEngine.daemon(() -> {
             try {
                 server.run();
@@ -53,12 +55,22 @@
         });
     }
 
-    static Config config(int feedPort, String event) throws IOException, FieldException {
+    /** A new configuration, as an operator brings it to a running gateway. */
+    void reload(Server.ConfigSource next) {
+        source = next;
+        server.reloadConfig();
+    }
+
+    static Config config(int feedPort, String event) throws FieldException {
         String all = """
                 {"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",
                 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"feed":"127.0.0.1:%d",
                 "known":{"events":[%s]},"settings":%s}""".formatted(feedPort, event, SETTINGS);
-        return Config.read(Json.object(all.getBytes(StandardCharsets.UTF_8), ""));
+        try {
+            return Config.read(Json.object(all.getBytes(StandardCharsets.UTF_8), ""));
+        } catch (IOException e) {
+            throw new FieldException(e.getMessage());
+        }
     }
 
     static String event(int number, boolean whole, String hosts) {
