Silent and resting clients make room at the limit; openings and packets are bounded

Ruled out: the engines (tries that reached one were answered, 1.3 attempts spread) and the module (no refusals before the sessions were full).

At the limit the client that has been silent longest since its opening makes room, then the one that has rested longest. A first command must come in 2 s, a packet whole in 1.5 s (Session.LOGIN_MOST was 10 s, and a half-sent query was never bounded). A client reset before it is looked at no longer costs a descriptor and a rest of 20 ms (Acceptor.ready).

--- a/src/main/java/sandpaddle/config/Config.java
+++ b/src/main/java/sandpaddle/config/Config.java
@@ -17,7 +17,7 @@
         Duration connectTimeout) {
     private static final String FILE = "BALANCER_CONFIG";
     private static final long SOCKETS = 1024;
-    private static final long LEAST_SOCKETS = 64;
+    private static final long LEAST_SOCKETS = 128;
     private static final long IDLE_US = 15_000_000;
     private static final long CONNECT_US = 250_000;
     private static final int HEX = 16;
--- a/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -2,13 +2,16 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import sandpaddle.net.Acceptor;
 import sandpaddle.net.Connection;
+import sandpaddle.net.Farewell;
 import sandpaddle.net.Loop;
 import sandpaddle.serve.Frontend;
 import sandpaddle.serve.QueryService;
@@ -18,11 +21,18 @@
     static final String USER = "app";
     static final String DATABASE = "core";
     private static final int SCRAMBLE = 20;
+    /** Connections that are ending at one time, beside the sessions. */
+    public static final int MOST_LEAVING = 24;
+    private static final Duration SILENT_LEAST = Duration.ofMillis(100);
+    private static final Duration REST_LEAST = Duration.ofMillis(250);
 
     private final Loop loop;
     private final QueryService service;
     private final SplittableRandom random;
     private final Map<Integer, Session> sessions = new HashMap<>();
+    private final Set<Session> opening = new LinkedHashSet<>(); // that never asked, by age
+    private final Set<Session> resting = new LinkedHashSet<>(); // with no open query, by when it ended
+    private final Set<Farewell> leaving = new LinkedHashSet<>();
     private final Acceptor acceptor;
     private final int mostSessions;
     private int lastId;
@@ -49,35 +59,66 @@
         return sessions.get(id);
     }
 
-    /** Guards the limit on descriptors: engines need theirs. */
+    /** Guards the limit on descriptors, which engines need too: at the limit one is taken and told to go. */
     private void accepted(Connection c) {
-        if (sessions.size() >= mostSessions) {
-            c.owner(new Connection.Owner() {
-                @Override
-                public void received(ByteBuffer bytes) {
-                    // it is told to go, whatever it says
-                }
-
-                @Override
-                public void closed(Exception cause) {
-                    // as it was told
-                }
-            });
-            c.write(Messages.error(0, SqlError.ER_CON_COUNT_ERROR, "Too many connections"));
-            c.closeWhenFlushed();
+        if (sessions.size() >= mostSessions && !makeRoom()) {
+            leaving(c, Messages.error(0, SqlError.ER_CON_COUNT_ERROR, "Too many connections"));
             return;
         }
         Session s = new Session(this, loop, c, ++lastId);
         c.owner(s);
         sessions.put(s.id, s);
+        opening.add(s);
         c.write(Messages.greeting(s.id, random.ints(SCRAMBLE, 1, 128)
                 .collect(java.io.ByteArrayOutputStream::new, (o, b) -> o.write(b), (a, b) -> { }).toByteArray()));
     }
 
+    /**
+     * Guards clients that ask against those that only hold their connection: the one that has been silent
+     * longest since it was opened goes first, then the one that has rested longest.
+     */
+    private boolean makeRoom() {
+        Session silent = opening.isEmpty() ? null : opening.iterator().next();
+        Session resting = this.resting.isEmpty() ? null : this.resting.iterator().next();
+        if (silent != null && silent.openedAt().plus(SILENT_LEAST).isBefore(loop.now())) {
+            silent.makeRoom();
+        } else if (resting != null && resting.restingSince().plus(REST_LEAST).isBefore(loop.now())) {
+            resting.makeRoom();
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    /** A session has an open query. */
+    void asks(Session s) {
+        opening.remove(s);
+        resting.remove(s);
+    }
+
+    /** A session has asked, and has no open query. */
+    void rests(Session s) {
+        asks(s);
+        resting.add(s);
+    }
+
     void ended(Session s) {
+        asks(s);
         sessions.remove(s.id);
     }
 
+    /** Guards the descriptors against many that are slow to go: then the first of them goes at once. */
+    void leaving(Connection c, byte[] words) {
+        if (leaving.size() >= MOST_LEAVING) {
+            leaving.iterator().next().close();
+        }
+        Farewell[] one = new Farewell[1];
+        one[0] = Farewell.bid(loop, c, words, () -> leaving.remove(one[0]));
+        if (c.isUp()) {
+            leaving.add(one[0]);
+        }
+    }
+
     @Override
     public void stopListening() {
         acceptor.close();
--- a/src/main/java/sandpaddle/mysql/PacketReader.java
+++ b/src/main/java/sandpaddle/mysql/PacketReader.java
@@ -5,8 +5,9 @@
 
 /** Cuts a stream of bytes into packets, however they were split or joined on the way. */
 final class PacketReader {
-    /** The largest payload that is taken; a statement is a few hundred bytes. */
-    static final int MOST_BYTES = 256 * 1024;
+    /** The largest payload that is taken: a login at first, then statements, which are some hundred bytes. */
+    static final int MOST_LOGIN_BYTES = 4 * 1024;
+    static final int MOST_BYTES = 64 * 1024;
     private static final int HEADER = 4;
     private static final int SMALL = 1024;
 
@@ -14,6 +15,12 @@
 
     private byte[] buffer = new byte[SMALL];
     private int from, to;
+    private int most = MOST_LOGIN_BYTES;
+
+    /** A client that has logged in may send more. */
+    void loggedIn() {
+        most = MOST_BYTES;
+    }
 
     void feed(ByteBuffer bytes) {
         if (buffer.length - to < bytes.remaining()) {
@@ -36,9 +43,9 @@
             return null;
         }
         int length = buffer[from] & 0xFF | (buffer[from + 1] & 0xFF) << 8 | (buffer[from + 2] & 0xFF) << 16;
-        if (length > MOST_BYTES) {
+        if (length > most) { // judged at the header: what is too large is never buffered
             throw new ProtocolException(SqlError.ER_NET_PACKET_TOO_LARGE,
-                    "packet of " + length + " bytes, more than " + MOST_BYTES);
+                    "packet of " + length + " bytes, more than " + most);
         }
         if (to - from < HEADER + length) {
             return null;
--- a/src/main/java/sandpaddle/mysql/Session.java
+++ b/src/main/java/sandpaddle/mysql/Session.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Arrays;
 import org.tinylog.Logger;
 import sandpaddle.net.Connection;
@@ -22,32 +23,57 @@
     /** A client that does not read its answer for so long holds memory for nothing. */
     private static final Duration STALLED = Duration.ofSeconds(30);
 
-    private static final Duration LOGIN_MOST = Duration.ofSeconds(10);
+    /** From its opening, a client has so long to log in and ask; who has asked once may then rest for good. */
+    private static final Duration FIRST_COMMAND = Duration.ofMillis(2000);
+    /** From its first byte, a packet has so long to come whole. */
+    private static final Duration WHOLE_PACKET = Duration.ofMillis(1500);
+    /** What a client may send ahead while its query is open, before its writes come to wait. */
+    private static final int AHEAD_MOST = 16 * 1024;
 
     private final MysqlFrontend frontend;
     private final Loop loop;
     private final Connection connection;
     private final PacketReader packets = new PacketReader();
     final int id;
-    private boolean loggedIn, handling, ended;
+    private final Instant openedAt;
+    private Instant restingSince;
+    private boolean loggedIn, asked, handling, ended;
     private int open; // the number of the open query, so that a late answer finds nobody
     private QueryService.Ticket ticket;
     private boolean busy;
-    private final Timers.Timer loginDue;
-    private Timers.Timer stall;
+    private final Timers.Timer firstDue;
+    private Timers.Timer packetDue, stall;
 
     Session(MysqlFrontend frontend, Loop loop, Connection connection, int id) {
         this.frontend = frontend;
         this.loop = loop;
         this.connection = connection;
         this.id = id;
-        loginDue = loop.after(LOGIN_MOST, () -> end(new byte[0])); // who never logs in holds a descriptor for nothing
+        openedAt = loop.now();
+        firstDue = loop.after(FIRST_COMMAND, () -> late("no command came"));
     }
 
     boolean isIdle() {
         return !busy && connection.unsent() == 0;
     }
 
+    Instant openedAt() {
+        return openedAt;
+    }
+
+    /** Since when it has no open query. */
+    Instant restingSince() {
+        return restingSince;
+    }
+
+    /** Guards descriptors and memory against clients that say nothing, or never end what they began to say. */
+    private void late(String why) {
+        if (!ended) {
+            Logger.debug("session {} ends: {}", id, why);
+            end(Messages.error(loggedIn ? 0 : 2, SqlError.ER_NET_READ_INTERRUPTED, why));
+        }
+    }
+
     @Override
     public void received(ByteBuffer bytes) {
         packets.feed(bytes);
@@ -65,14 +91,26 @@
                 packet(p);
             }
         } catch (ProtocolException e) {
-            Logger.info("session {} ends: {}", id, e.getMessage());
+            Logger.debug("session {} ends: {}", id, e.getMessage());
             leave();
             end(Messages.error(1, e.error, e.getMessage()));
         } finally {
             handling = false;
         }
-        // a client that sends on while its query is open has its writes wait, beyond one packet
-        connection.reading(!busy || packets.buffered() <= PacketReader.MOST_BYTES);
+        if (!ended) {
+            connection.reading(!busy || packets.buffered() <= AHEAD_MOST);
+            awaitRest();
+        }
+    }
+
+    private void awaitRest() {
+        boolean partial = !busy && packets.buffered() > 0;
+        if (partial && packetDue == null) {
+            packetDue = loop.after(WHOLE_PACKET, () -> late("the packet was never finished"));
+        } else if (!partial && packetDue != null) {
+            packetDue.cancel();
+            packetDue = null;
+        }
     }
 
     private PacketReader.Packet next() throws ProtocolException {
@@ -81,15 +119,28 @@
 
     /** The last words of a session; what else its client sent is not looked at. */
     private void end(byte[] words) {
+        if (!ended) {
+            over();
+            frontend.leaving(connection, words);
+        }
+    }
+
+    private void over() {
         ended = true;
-        loginDue.cancel();
-        if (words.length > 0) {
-            send(words);
+        flushed();
+        firstDue.cancel();
+        if (packetDue != null) {
+            packetDue.cancel();
         }
-        connection.closeWhenFlushed();
         frontend.ended(this);
     }
 
+    /** Its descriptor is needed for another client. */
+    void makeRoom() {
+        over();
+        connection.close();
+    }
+
     private void packet(PacketReader.Packet p) throws ProtocolException {
         if (!loggedIn) {
             logIn(p);
@@ -98,6 +149,22 @@
         if (p.seq() != 0 || p.payload().length == 0) {
             throw new ProtocolException(SqlError.ER_NET_PACKETS_OUT_OF_ORDER, "expected a command");
         }
+        if (!asked) {
+            asked = true;
+            firstDue.cancel();
+        }
+        command(p);
+        if (!busy && !ended) {
+            rest();
+        }
+    }
+
+    private void rest() {
+        restingSince = loop.now();
+        frontend.rests(this);
+    }
+
+    private void command(PacketReader.Packet p) {
         String rest = new String(p.payload(), 1, p.payload().length - 1, StandardCharsets.UTF_8);
         switch (p.payload()[0]) {
             case COM_QUIT -> end(new byte[0]);
@@ -125,7 +192,7 @@
             end(Messages.error(seq, SqlError.ER_BAD_DB_ERROR, "Unknown database '" + login.database() + "'"));
         } else {
             loggedIn = true;
-            loginDue.cancel();
+            packets.loggedIn();
             send(Messages.ok(seq));
         }
     }
@@ -140,6 +207,7 @@
             send(Messages.error(1, SqlError.ER_PARSE_ERROR, u.why()));
         } else if (statement instanceof Statement.Ask ask) {
             busy = true;
+            frontend.asks(this);
             int number = ++open;
             QueryService.Ticket t = frontend.service().submit(ask.query(), a -> answer(number, a));
             ticket = busy && number == open ? t : null;
@@ -163,7 +231,10 @@
         } else if (answer instanceof Answer.Invalid i) {
             send(Messages.error(1, SqlError.ER_PARSE_ERROR, i.why()));
         }
-        handle();
+        if (!ended) {
+            rest();
+            handle();
+        }
     }
 
     private void kill(Statement.Kill kill) {
@@ -187,7 +258,10 @@
         if (busy) {
             leave();
             send(Messages.error(1, SqlError.ER_QUERY_INTERRUPTED, "Query execution was interrupted"));
-            handle();
+            if (!ended) {
+                rest();
+                handle();
+            }
         }
     }
 
@@ -235,9 +309,9 @@
 
     @Override
     public void closed(Exception cause) {
-        flushed();
-        loginDue.cancel();
         leave();
-        frontend.ended(this);
+        if (!ended) {
+            over();
+        }
     }
 }
--- a/src/main/java/sandpaddle/net/Acceptor.java
+++ b/src/main/java/sandpaddle/net/Acceptor.java
@@ -15,6 +15,8 @@
     private static final int BACKLOG = 512;
     private static final Duration REST = Duration.ofMillis(20); // after a failed accept: descriptors may run out
 
+    private static final int MOST_A_TURN = 64; // so that a flood does not keep the others waiting
+
     private final Loop loop;
     private final ServerSocketChannel channel;
     private final SelectionKey key;
@@ -35,9 +37,23 @@
 
     @Override
     public void ready(SelectionKey ready) throws IOException {
-        for (SocketChannel c = channel.accept(); c != null; c = channel.accept()) {
-            taker.accept(Connection.accepted(loop, c));
+        SocketChannel c = channel.accept();
+        for (int i = 1; c != null; i++) {
+            take(c);
+            c = i < MOST_A_TURN ? channel.accept() : null;
+        }
+    }
+
+    /** Guards all that wait behind it against one connection that is reset before it is looked at. */
+    private void take(SocketChannel accepted) {
+        Connection c;
+        try {
+            c = Connection.accepted(loop, accepted);
+        } catch (IOException e) {
+            Logger.debug("a client left at once: {}", e.toString());
+            return;
         }
+        taker.accept(c);
     }
 
     /** Guards against a spinning loop where no descriptor is left: listening goes on a little later. */
--- a/src/main/java/sandpaddle/net/Connection.java
+++ b/src/main/java/sandpaddle/net/Connection.java
@@ -33,7 +33,7 @@
     private final SelectionKey key;
     private final ArrayDeque<ByteBuffer> outbound = new ArrayDeque<>();
     private Owner owner;
-    private boolean reading = true, up, sent, closed, closeWhenFlushed;
+    private boolean reading = true, up, sent, closed, endWhenFlushed, outputEnded;
     private long unsent;
 
     private Connection(Loop loop, SocketChannel channel, Owner owner, boolean up) throws IOException {
@@ -47,7 +47,12 @@
 
     /** A connection that was accepted; the owner is set before the first read. */
     static Connection accepted(Loop loop, SocketChannel channel) throws IOException {
-        return new Connection(loop, channel, null, true);
+        try {
+            return new Connection(loop, channel, null, true);
+        } catch (IOException | RuntimeException e) {
+            channel.close(); // its client has gone already: the descriptor must not stay
+            throw e;
+        }
     }
 
     /** Begins to connect; the owner hears of the end in a later turn, or this throws at once. */
@@ -103,11 +108,25 @@
         }
     }
 
-    /** Closes once all that was written has left. */
-    public void closeWhenFlushed() {
-        closeWhenFlushed = true;
+    /** Writes the last words; once they have left, the other side reads the end, and what it sends still comes. */
+    void endWith(byte[] words) {
+        endWhenFlushed = true;
+        if (words.length > 0) {
+            write(words);
+        }
         if (unsent == 0) {
-            close();
+            endOutput();
+        }
+    }
+
+    private void endOutput() {
+        if (!closed && !outputEnded) {
+            outputEnded = true;
+            try {
+                channel.shutdownOutput();
+            } catch (IOException e) {
+                broken(e);
+            }
         }
     }
 
@@ -184,8 +203,8 @@
         interest();
         if (before && unsent == 0) {
             owner.flushed();
-            if (closeWhenFlushed) {
-                close();
+            if (endWhenFlushed) {
+                endOutput();
             }
         }
     }
--- a/src/main/java/sandpaddle/serve/Server.java
+++ b/src/main/java/sandpaddle/serve/Server.java
@@ -24,9 +24,8 @@
     private static final Duration LAST_ANSWERS = Duration.ofMillis(300); // before the kill
     private static final Duration EXIT = Duration.ofMillis(150); // before the kill
     private static final int CLIENTS_PART = 3; // clients hold at most this part of the descriptors
-    private static final int OTHER_DESCRIPTORS = 80; // the JVM's files, the selector, the feed, connections ending
-
-    private static final int ENDING_CLIENTS = 24; // those that are closing still count for a moment
+    private static final int MORE_CLIENTS = 24; // for those beside the usual ones, and those just going
+    private static final int OTHER_DESCRIPTORS = 28; // 13 of the JVM's, the listener, the feeds, a file read anew
 
     private final Loop loop;
     private final Engines engines;
@@ -47,16 +46,15 @@
         this.source = source;
         config = source.load();
         loop = new Loop(clock);
-        int forClients = config.sockets() / CLIENTS_PART;
-        int forEngines = config.sockets() - forClients - OTHER_DESCRIPTORS;
+        int forClients = config.sockets() / CLIENTS_PART + MORE_CLIENTS;
+        int forEngines = config.sockets() - forClients - MysqlFrontend.MOST_LEAVING - OTHER_DESCRIPTORS;
         engines = new Engines(loop, config.connectTimeout(), config.engineIdle(), Math.max(1, forEngines));
         dispatcher = new Dispatcher(loop, new Decide(config.settings(), config.seed()), config.settings(),
                 config.names(), engines);
         config.known().forEach(dispatcher::listed);
         feed = new Feed(loop, config.feed(), config.names(), config.knownNumber(), dispatcher::listed);
         feed.start();
-        frontends = List.of(new MysqlFrontend(loop, config.listen(), dispatcher, forClients + ENDING_CLIENTS,
-                config.seed()));
+        frontends = List.of(new MysqlFrontend(loop, config.listen(), dispatcher, forClients, config.seed()));
         Logger.info("{} listens on {}", config.name(), address());
     }
 
--- a/src/test/java/sandpaddle/config/ConfigTest.java
+++ b/src/test/java/sandpaddle/config/ConfigTest.java
@@ -41,7 +41,7 @@
         return new Object[][] {
             {"\"listen\": \"127.0.0.1:3307\"", "\"listen\": \"localhost\"",
                 "field 'listen' is no address of the form 10.0.0.4:8080"},
-            {"\"sockets\": 1024", "\"sockets\": 3", "field 'limits.sockets' is under 64 or too large"},
+            {"\"sockets\": 1024", "\"sockets\": 3", "field 'limits.sockets' is under 128 or too large"},
             {"\"seed\": \"8c1f30d27a5be964\"", "\"seed\": \"high\"", "field 'seed' is not 16 hex digits"},
             {"\"max_attempts\": 5", "\"max_attempts\": \"5\"",
                 "field 'settings.bounds.max_attempts' has the wrong type"},
--- a/src/test/java/sandpaddle/story/Client.java
+++ b/src/test/java/sandpaddle/story/Client.java
@@ -85,6 +85,16 @@
         return payload;
     }
 
+    /** Empty for a greeting, else the error. */
+    String answerOrGreeting() throws IOException {
+        byte[] p = packet();
+        return (p[0] & 0xFF) == ERR ? error(p) : "";
+    }
+
+    private static String error(byte[] p) {
+        return (p[1] & 0xFF | (p[2] & 0xFF) << 8) + " " + new String(p, 9, p.length - 9, StandardCharsets.UTF_8);
+    }
+
     /** One answer: "ok", "1203 text" for an error, or the rows as "a|b|c" joined by a slash. */
     String answer() throws IOException {
         byte[] p = packet();
@@ -92,7 +102,7 @@
             return "ok";
         }
         if ((p[0] & 0xFF) == ERR) {
-            return (p[1] & 0xFF | (p[2] & 0xFF) << 8) + " " + new String(p, 9, p.length - 9, StandardCharsets.UTF_8);
+            return error(p);
         }
         for (int columns = p[0]; columns >= 0; columns--) { // their definitions, and an EOF
             packet();
--- a/src/test/java/sandpaddle/story/GatewayStories.java
+++ b/src/test/java/sandpaddle/story/GatewayStories.java
@@ -9,6 +9,8 @@
 import static sandpaddle.story.ScriptedEngine.ok;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
@@ -183,6 +185,64 @@
         }
     }
 
+    /** Guards descriptors against clients that say nothing or never end it; who has asked once may rest. */
+    @Test
+    public void whatIsNeverSaidWholeEndsWithinItsTime() throws Exception {
+        try (var engine = new ScriptedEngine(c -> ok("a\tb\tc\n")); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine); var silent = new Client(stage.address());
+                var half = new Client(stage.address())) {
+            long from = System.nanoTime();
+            var resting = stage.client();
+            resting.ask(Stage.fields("lookup", 1, 5000) + SQL);
+            silent.greeted();
+            half.greeted();
+            half.write(Arrays.copyOf(Client.login(), 20));
+            var neverAsks = stage.client();
+            var neverEnds = stage.client();
+            neverEnds.ask(Stage.fields("lookup", 2, 5000) + SQL);
+            neverEnds.write(Arrays.copyOf(Client.query(SQL), 9));
+            for (Client c : List.of(silent, half, neverAsks, neverEnds)) {
+                assertEquals(c.answer().substring(0, 4), "1159");
+                assertTrue(c.isEnded());
+            }
+            long ms = (System.nanoTime() - from) / 1_000_000;
+            assertTrue(ms < 2900, "ended after " + ms);
+            assertEquals(resting.ask(Stage.fields("lookup", 3, 5000) + SQL), "a|b|c");
+        }
+    }
+
+    /** Guards the answer to one who sends too much: a close with bytes unread would take it back. */
+    @Test
+    public void tooLongAPacketIsToldSoThoughItsSenderWritesOn() throws Exception {
+        try (var engine = new ScriptedEngine(c -> SILENT); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            var client = stage.client();
+            byte[] much = new byte[4 << 20];
+            Arrays.fill(much, (byte) -2);
+            client.write(much);
+            assertEquals(client.answer().substring(0, 4), "1153");
+            assertTrue(client.isEnded());
+        }
+    }
+
+    /** Guards clients that ask against those that keep their connection for good, or never say anything. */
+    @Test
+    public void atTheLimitSilentAndRestingClientsMakeRoom() throws Exception {
+        try (var engine = new ScriptedEngine(c -> ok("a\tb\tc\n")); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            var asking = stage.client();
+            for (int i = 0; i < Stage.MOST_CLIENTS; i++) {
+                stage.opened();
+            }
+            int served = 0;
+            for (int i = 1; served < 2 * Stage.MOST_CLIENTS; i++) {
+                assertTrue(i < 100_000, "only " + served + " were served");
+                served += stage.askOnce(Stage.fields("lookup", i, 5000) + SQL).equals("a|b|c") ? 1 : 0;
+                asking.ask(Stage.fields("lookup", -i, 5000) + SQL); // who goes on asking keeps its place
+            }
+        }
+    }
+
     /** Guards against being admitted before it can serve, and engines that a whole list no longer names. */
     @Test
     public void itIsReadyOnceItKnowsAListAndFollowsTheNextOne() throws Exception {
--- a/src/test/java/sandpaddle/story/Stage.java
+++ b/src/test/java/sandpaddle/story/Stage.java
@@ -31,6 +31,9 @@
             "tip_multiple":4.0,"fall_us":1000000},
             "specifics":{"class_threads":[1,2],"size_cores":[8],"grants_count":true,"takes_priority":true}}""";
 
+    /** Clients at one time: a third of the descriptors and 24. */
+    static final int MOST_CLIENTS = 160 / 3 + 24;
+
     final Server server;
     private volatile Server.ConfigSource source;
     private final List<Client> clients = new ArrayList<>();
@@ -64,7 +67,7 @@
     static Config config(int feedPort, String event) throws FieldException {
         String all = """
                 {"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",
-                "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"feed":"127.0.0.1:%d",
+                "limits":{"cores":1.0,"memory_mb":192,"sockets":160},"feed":"127.0.0.1:%d",
                 "known":{"events":[%s]},"settings":%s}""".formatted(feedPort, event, SETTINGS);
         try {
             return Config.read(Json.object(all.getBytes(StandardCharsets.UTF_8), ""));
@@ -103,6 +106,25 @@
         return c;
     }
 
+    /** A client that connects and says nothing; it may be sent away. */
+    Client opened() throws IOException {
+        Client c = new Client(address());
+        clients.add(c);
+        return c;
+    }
+
+    /** What a new client is answered, which then stays; it may be refused before it is greeted. */
+    String askOnce(String text) throws IOException {
+        Client c = opened();
+        String first = c.answerOrGreeting();
+        if (!first.isEmpty()) {
+            return first;
+        }
+        c.write(Client.login());
+        c.answer();
+        return c.ask(text);
+    }
+
     /** Waits until the gateway has ended by itself. */
     void awaitEnd() {
         ended.orTimeout(8, TimeUnit.SECONDS).join();
