A class that an engine swallows is sent elsewhere; notes of progress tell what is at work

Ruled out: the sockets (polls answered in 250 ms) and memory.

Each class on an engine is now a line with its own silence, trials and calling off, beside the engine and its zone (Decide.judges). An attempt that tells nothing for four notes' times is lost; one that tells goes on. A swallowed load cannot be called off, but its line gets no more of them until a trial ends well.

--- a/src/main/java/sandpaddle/config/SettingsReader.java
+++ b/src/main/java/sandpaddle/config/SettingsReader.java
@@ -30,7 +30,8 @@
                 limits(s.row("bounds")), rules(s.row("rules")),
                 new Gateway.Terms(facts.flagOr("grants_count", false), facts.flagOr("takes_priority", false),
                         facts.numberOr("most_grant", 1), "page".equals(facts.textOr("overbooked")),
-                        facts.flagOr("cost_in_answers", false)), charges(s.rowOr("charges")));
+                        facts.flagOr("cost_in_answers", false), facts.integerOr("progress_us", 0)),
+                charges(s.rowOr("charges")));
     }
 
     private static List<Gateway.RequestClass> classes(List<Row> rows, Row facts) throws FieldException {
--- a/src/main/java/sandpaddle/decide/Decide.java
+++ b/src/main/java/sandpaddle/decide/Decide.java
@@ -49,6 +49,7 @@
     private static final double OVERDUE = 4.0; // multiple of its expected latency: an attempt is overdue
     private static final double END_EARLY = 6; // to end one early: one in some hundred queries is so heavy
     private static final long OVERDUE_LEAST_US = 400_000; // us: never overdue before
+    private static final int MUTE_NOTES = 4; // notes' times without one: an attempt at work tells every time
     private static final int SILENT_ATTEMPTS = 2; // overdue, none answered since: one may be just heavy
     private static final double OPEN_LEAST = 0.5; // share of cores in health; below it health is not heeded
     private static final double LINGER = 2.0; // usual latencies for which unstopped work counts on
@@ -135,10 +136,13 @@
             probed(e);
         } else if (event instanceof PeerMessage e) {
             hearPeer(e);
+        } else if (event instanceof Note e) {
+            noted(requests.get(e.id()), e.attempt());
         } else if (event instanceof Timer) {
             sweep();
         }
-        if (!(event instanceof PeerMessage || event instanceof ProbeResult)) { // the next sweep acts on these
+        boolean news = event instanceof PeerMessage || event instanceof ProbeResult || event instanceof Note;
+        if (!news) { // the next sweep acts on these
             release();
             shedHopeless();
         }
@@ -298,10 +302,10 @@
         int c = h.request.cls();
         Attempt a = new Attempt(h, e, h.attempts++, now, expectedUs(h));
         h.out = a;
+        h.notedAt = NEVER;
         h.calledOff = false;
         h.last = e;
-        e.out.put(h.request.id(), a);
-        e.room.out.put(h.request.id(), a);
+        judges(e, c).forEach(j -> j.out.put(h.request.id(), a));
         run(e, c, h.cls.threads());
         e.queries++;
         double memory = s.terms().grants() ? h.request.memoryMb() * known[c].memoryBias * GRANT_OVER : 0;
@@ -345,8 +349,7 @@
         Attempt a = h.out;
         Engine e = a.engine();
         h.out = null;
-        e.out.remove(o.id());
-        e.room.out.remove(o.id());
+        judges(e, h.request.cls()).forEach(j -> j.out.remove(o.id()));
         e.queries--;
         hear(e, o.load(), o.elapsedUs() > 0 ? Math.min(now, a.sentAt() + o.elapsedUs()) : now);
         if (o.result() == Result.OK) {
@@ -419,9 +422,8 @@
         Engine e = a.engine();
         answeredAt = now;
         e.failing *= 1 - FAIL_WEIGHT;
-        heardFrom(e);
-        reopen(e);
-        reopen(e.room);
+        heardFrom(e, a.held().request.cls());
+        judges(e, a.held().request.cls()).forEach(this::reopen);
         double latency = o.elapsedUs() > 0 ? o.elapsedUs() : Math.max(1, now - a.sentAt());
         learn(a, latency, true);
         learnCost(known[a.held().request.cls()], a.held(), o, latency);
@@ -516,19 +518,32 @@
             close(e);
         } else if (result == Result.TIMEOUT && overdue(a)) {
             e.room.lost.add(a);
+            e.lines[a.held().request.cls()].lost.add(a);
         }
         if (result == Result.TIMEOUT && !answersWell()) {
             learn(a, now - a.sentAt() + 1, false);
         }
         if (result == Result.ERROR) {
-            heardFrom(e);
+            heardFrom(e, a.held().request.cls());
         }
     }
 
-    private void heardFrom(Engine e) {
-        e.answeredAt = now;
-        e.room.answeredAt = now;
-        e.room.lost.clear();
+    /** Where silence is judged: the engine, its zone, and its line, which is the class on this engine. */
+    private static List<Engine> judges(Engine e, int cls) {
+        return List.of(e, e.room, e.lines[cls]);
+    }
+
+    private void heardFrom(Engine e, int cls) {
+        for (Engine j : judges(e, cls)) {
+            j.answeredAt = now;
+            j.lost.clear();
+        }
+    }
+
+    private void noted(Held h, int attempt) {
+        if (h != null && h.out != null && h.out.number() == attempt) {
+            h.notedAt = now;
+        }
     }
 
     /** Own queries come to an engine less than once a second: one sign of trouble must do. */
@@ -564,23 +579,25 @@
         if (now < e.closedUntil) {
             return false;
         }
-        return !onTrial(e) || h.cls.effect() != Effect.UNSAFE
+        boolean mayTry = h.cls.effect() != Effect.UNSAFE || e.isLine; // a line has no other class to try it
+        return !onTrial(e) || mayTry
                 && e.out.values().stream().noneMatch(a -> a.sentAt() >= e.closedUntil);
     }
 
     /**
      * Silence while others answer: attempts sent to an engine since its last answer or closing are overdue. A
      * zone is judged as one by those of two engines of it, timed-out ones too: a gateway with little traffic
-     * meets a single engine too seldom to learn what cut all of them off. Guards against a lost way to a
-     * zone, one without power, or one whose answers alone are lost. Harm: a zone that is only slow, and where
-     * fewest queries go, may be tried one query at a time for a few seconds, and the others bear its load.
+     * meets a single engine too seldom to learn what cut all of them off. A line is judged by its class
+     * alone: an engine may answer all but one class. Guards against that, a lost way to a zone, one without
+     * power, or one whose answers alone are lost. Harm: a zone that is only slow, and where fewest queries
+     * go, may be tried one query at a time for a few seconds, and the others bear its load.
      */
     private void watchSilence(Engine e) {
         if (now - answeredAt > OVERDUE_LEAST_US) {
             return;
         }
         long since = Math.max(e.answeredAt, e.closedUntil - 1);
-        Stream<Attempt> late = Stream.concat(e.lost.stream(), e.out.values().stream().filter(this::overdue))
+        Stream<Attempt> late = Stream.concat(e.lost.stream(), e.out.values().stream().filter(a -> lost(e, a)))
                 .filter(a -> a.sentAt() > since);
         long overdue = rooms.containsValue(e) ? late.map(Attempt::engine).distinct().count() : late.count();
         if (overdue >= SILENT_ATTEMPTS || overdue > 0 && e.silent) {
@@ -597,7 +614,7 @@
     private void callOff(Engine e) {
         for (Attempt a : e.out.values()) {
             Held h = a.held();
-            if (s.limits().cancel() && !h.calledOff && !h.over && overdue(a) && safeToRepeat(h)) {
+            if (s.limits().cancel() && !h.calledOff && !h.over && lost(e, a) && safeToRepeat(h)) {
                 h.calledOff = true;
                 out.accept(new Cancel(h.request.id(), a.number()));
             }
@@ -608,8 +625,20 @@
         return h.cls.effect() == Effect.SAFE && mayTryAgain(h) && budgetAllows();
     }
 
+    /** A line has few attempts: one that tells its progress is only heavy. */
+    private boolean lost(Engine judged, Attempt a) {
+        boolean tells = a.held().notedAt != NEVER;
+        return judged.isLine && tells ? mute(a) : overdue(a);
+    }
+
     private boolean overdue(Attempt a) {
-        return now - a.sentAt() > Math.max(OVERDUE_LEAST_US, OVERDUE * a.expectUs());
+        return now - a.sentAt() > Math.max(OVERDUE_LEAST_US, OVERDUE * a.expectUs()) || mute(a);
+    }
+
+    /** An attempt at work tells how far it is, however heavy: one that does not is lost. */
+    private boolean mute(Attempt a) {
+        long most = s.terms().progressUs() * MUTE_NOTES;
+        return most > 0 && now - Math.max(a.held().notedAt, a.sentAt()) > most;
     }
 
     // ---- Which engines a request may be sent to.
@@ -622,10 +651,10 @@
         for (Engine e : listed) {
             if (h.cls.mayRunOn(e.entry) && groupAllows(h, e)) {
                 cores += e.cores;
-                wellCores += closed(e) || closed(e.room) ? 0 : e.cores;
+                wellCores += judges(e, h.request.cls()).stream().anyMatch(this::closed) ? 0 : e.cores;
                 if (coldAllows(e)) {
                     allowed.add(e);
-                    if (healthy(e, h) && healthy(e.room, h)) {
+                    if (judges(e, h.request.cls()).stream().allMatch(j -> healthy(j, h))) {
                         well.add(e);
                     }
                 }
@@ -633,7 +662,8 @@
         }
         if (wellCores < OPEN_LEAST * cores) {
             well = new ArrayList<>(allowed);
-            well.removeIf(e -> e.silent && now < e.closedUntil || e.room.silent && !healthy(e.room, h));
+            well.removeIf(e -> e.silent && now < e.closedUntil || judges(e, h.request.cls()).stream().skip(1)
+                    .anyMatch(j -> j.silent && !healthy(j, h)));
         }
         if (well.size() > 1 && h.attempts > 0) {
             well.remove(h.last);
@@ -761,8 +791,10 @@
         e.bound = BOUND_START * e.cores;
         e.slow = 0;
         e.failing = 0;
-        e.closedUntil = now;
-        reopen(e);
+        for (Engine j : Stream.concat(Stream.of(e), Arrays.stream(e.lines)).toList()) {
+            j.closedUntil = now;
+            reopen(j);
+        }
         e.report = null;
         e.tokensUs = -random.nextDouble() * Arrays.stream(known).mapToDouble(k -> k.workUs).max().orElse(0);
         e.tokensAt = now;
@@ -977,6 +1009,7 @@
             rooms.values().forEach(this::watchSilence);
             listed.stream().filter(e -> !e.out.isEmpty()).forEach(e -> {
                 watchSilence(e);
+                Arrays.stream(e.lines).filter(j -> !j.out.isEmpty()).forEach(this::watchSilence);
                 watchLateness(e);
             });
         }
--- a/src/main/java/sandpaddle/decide/Gateway.java
+++ b/src/main/java/sandpaddle/decide/Gateway.java
@@ -74,8 +74,12 @@
             double fallMultiple, long fallUs, long keyRestUs, long budgetSpanUs, double budgetFree,
             double budgetShare) { }
 
-    /** Memory grants and priorities; {@code mostGrant} is the share of an engine's memory one query may get. */
-    record Terms(boolean grants, boolean priorities, double mostGrant, boolean pages, boolean tellsCost) { }
+    /**
+     * Memory grants and priorities; {@code mostGrant} is the share of an engine's memory one query may get,
+     * {@code progressUs} the time between notes of an attempt, 0 where none come.
+     */
+    record Terms(boolean grants, boolean priorities, double mostGrant, boolean pages, boolean tellsCost,
+            long progressUs) { }
 
     /** What service costs besides: points for a probe, and for a full message to one peer, a query. */
     record Charges(double probe, double peer) { }
--- a/src/main/java/sandpaddle/decide/State.java
+++ b/src/main/java/sandpaddle/decide/State.java
@@ -82,6 +82,8 @@
         double ownAll, peersAll; // the sums of these
         int queries; // own
         Engine room; // of its zone
+        final Engine[] lines; // each class on this engine, judged for silence by itself
+        boolean isLine;
         final LinkedHashMap<String, Attempt> out = new LinkedHashMap<>();
         final List<Attempt> lost = new ArrayList<>(); // a room's that timed out since its last answer
         double[] report;
@@ -98,6 +100,11 @@
             this.id = id;
             threads = new double[classes];
             peerThreads = new double[classes];
+            lines = new Engine[classes];
+            for (int c = 0; c < classes; c++) {
+                lines[c] = new Engine(id + " class " + c, 0);
+                lines[c].isLine = true;
+            }
         }
 
         /** The part of its capacity that a started engine has at least, by the rules' figures. */
@@ -118,7 +125,7 @@
         final RequestClass cls;
         final long expiresAt, seq;
         final double drawn; // in [0, 1): settles what fits only in part
-        long due;
+        long due, notedAt = NEVER; // notedAt: of the attempt that is out
         int attempts;
         boolean mayHaveRun, over, calledOff;
         Engine ranOn, last;
--- a/src/test/java/sandpaddle/decide/GrownTest.java
+++ b/src/test/java/sandpaddle/decide/GrownTest.java
@@ -332,4 +332,47 @@
             site.pass(50 * MS);
         }
     }
+
+    /** Guards a class that some engines swallow while they answer all else: it goes where it is answered. */
+    @Test
+    void aClassThatAnEngineSwallowsGoesElsewhereAndTheOthersStay() {
+        Site.Spec spec = gateways(1);
+        spec.cancel = true;
+        spec.progressUs = 100 * MS;
+        Site site = site(spec, 3);
+        List<String> heavy = new ArrayList<>();
+        int calledOff = 0;
+        for (int i = 0; i < 40; i++) {
+            drive(site, 4);
+            for (Gateway.Cancel c : actions(site, Gateway.Cancel.class).stream().skip(calledOff).toList()) {
+                site.answer(c.id(), Gateway.Result.CANCELLED);
+                calledOff++;
+            }
+            heavy.add(site.take(1));
+            for (String id : heavy) {
+                if (site.attempts(id) > 0 && !site.engineOf(id).equals("e0")) {
+                    site.answer(id, Gateway.Result.OK); // answers to what has ended change nothing
+                }
+            }
+        }
+        long heavyToSick = heavy.stream().filter(id -> "e0".equals(site.engineOf(id))).count();
+        assertTrue(heavyToSick <= 2, heavyToSick + " heavy ones stay with the engine that swallows them");
+        assertTrue(calledOff >= 2, "what is stuck is called off, not only " + calledOff);
+        assertTrue(site.sentTo("e0") > 20, "the other class still goes there, not only " + site.sentTo("e0"));
+    }
+
+    /** Guards heavy work: what tells that it goes on is not lost, however long it takes. */
+    @Test
+    void anAttemptThatTellsItsProgressIsNotCalledOff() {
+        Site.Spec spec = gateways(1);
+        spec.cancel = true;
+        spec.progressUs = 100 * MS;
+        Site site = site(spec, 2);
+        List<String> heavy = List.of(site.take(1), site.take(1), site.take(1), site.take(1));
+        for (int i = 0; i < 60; i++) {
+            heavy.forEach(id -> site.on(new Gateway.Note(id, site.attempts(id) - 1, Gateway.Topic.PROGRESS, 0.1)));
+            drive(site, 1);
+        }
+        assertEquals(0, actions(site, Gateway.Cancel.class).size());
+    }
 }
--- a/src/test/java/sandpaddle/decide/Site.java
+++ b/src/test/java/sandpaddle/decide/Site.java
@@ -21,6 +21,7 @@
         boolean peers;
         boolean priorities;
         boolean grants;
+        long progressUs;
         long budgetSpanUs;
         long keyRestUs;
         int gateways = 2;
@@ -39,7 +40,7 @@
                     new Gateway.Limits(cancel, probes, peers, true, false, maxAttempts, 20000, S, 250 * MS),
                     new Gateway.Rules(20 * MS, 500 * MS, 10 * S, 0.3, 13 * S, 2.5, 1500 * MS, keyRestUs, budgetSpanUs,
                             2, 0.2),
-                    new Gateway.Terms(grants, priorities, 0.4, true, false),
+                    new Gateway.Terms(grants, priorities, 0.4, true, false, progressUs),
                     new Gateway.Charges(0.01, 0.01));
         }
     }
