--- a/src/main/java/sandpaddle/http/Requests.java
+++ b/src/main/java/sandpaddle/http/Requests.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Locale;
 
 /** The calls that an engine understands, as bytes. */
 final class Requests {
@@ -14,12 +13,17 @@
                 .append("\r\nX-Trace: ").append(o.trace()).append("\r\nX-Profile: ").append(o.route())
                 .append("\r\nX-Patience: ").append(Math.max(1, patience.toMillis()));
         if (o.memoryMb() > 0) {
-            head.append("\r\nQuery-Memory: ").append(String.format(Locale.ROOT, "%.1f", o.memoryMb()));
+            head.append("\r\nQuery-Memory: ").append(tenths(o.memoryMb()));
         }
         head.append("\r\nQuery-Priority: ").append(o.priority());
         return withBody(head, o.statement());
     }
 
+    private static String tenths(double mb) {
+        long n = Math.round(mb * 10);
+        return n / 10 + "." + n % 10;
+    }
+
     static byte[] ask(String host, String trace, int page) {
         return bare("GET /x/" + trace + "/" + page, host);
     }
--- a/src/main/java/sandpaddle/mysql/Session.java
+++ b/src/main/java/sandpaddle/mysql/Session.java
@@ -29,6 +29,8 @@
     private static final Duration WHOLE_PACKET = Duration.ofMillis(1500);
     /** What a client may send ahead while its query is open, before its writes come to wait. */
     private static final int AHEAD_MOST = 16 * 1024;
+    /** Answers that a client has not read, before its next command comes to wait. */
+    private static final int UNREAD_MOST = 128 * 1024;
 
     private final MysqlFrontend frontend;
     private final Loop loop;
@@ -98,13 +100,13 @@
             handling = false;
         }
         if (!ended) {
-            connection.reading(!busy || packets.buffered() <= AHEAD_MOST);
+            connection.reading(packets.buffered() <= AHEAD_MOST || !busy && !isUnread());
             awaitRest();
         }
     }
 
     private void awaitRest() {
-        boolean partial = !busy && packets.buffered() > 0;
+        boolean partial = !busy && !isUnread() && packets.buffered() > 0;
         if (partial && packetDue == null) {
             packetDue = loop.after(WHOLE_PACKET, () -> late("the packet was never finished"));
         } else if (!partial && packetDue != null) {
@@ -114,7 +116,12 @@
     }
 
     private PacketReader.Packet next() throws ProtocolException {
-        return busy || ended ? null : packets.next();
+        return busy || ended || isUnread() ? null : packets.next();
+    }
+
+    /** Guards memory against a client that asks on and on and reads nothing. */
+    private boolean isUnread() {
+        return connection.unsent() > UNREAD_MOST;
     }
 
     /** The last words of a session; what else its client sent is not looked at. */
@@ -127,7 +134,7 @@
 
     private void over() {
         ended = true;
-        flushed();
+        calm();
         firstDue.cancel();
         if (packetDue != null) {
             packetDue.cancel();
@@ -296,6 +303,13 @@
 
     @Override
     public void flushed() {
+        calm();
+        if (!ended) {
+            handle(); // what came to wait for it
+        }
+    }
+
+    private void calm() {
         if (stall != null) {
             stall.cancel();
             stall = null;
--- a/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -28,6 +28,9 @@
     /** Guards the rule of one answer in time, should the module ever say nothing: well inside its slack. */
     private static final Duration OVERDUE = Duration.ofMillis(8);
 
+    /** Times its class's limit: what a client may say that it will wait. */
+    private static final long PATIENCE_MOST = 2;
+
     private final Loop loop;
     private final Gateway module;
     private final Gateway.Settings settings;
@@ -80,6 +83,10 @@
             answer.accept(new Answer.Invalid("unknown route '" + query.route() + "'"));
             return () -> { };
         }
+        if (query.patience().compareTo(Micros.span(PATIENCE_MOST * settings.classes().get(cls).limitUs())) > 0) {
+            answer.accept(new Answer.Invalid("a patience of " + query.patience().toMillis() + " ms is out of range"));
+            return () -> { };
+        }
         if (exchanges.size() >= settings.limits().maxHeld()) {
             answer.accept(new Answer.Refused(Duration.ZERO));
             return () -> { };
--- a/src/test/java/sandpaddle/story/Client.java
+++ b/src/test/java/sandpaddle/story/Client.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A client of the MySQL protocol that blocks. */
 final class Client implements AutoCloseable {
@@ -68,6 +70,32 @@
         socket.getOutputStream().write(bytes);
     }
 
+    /** Writes a packet again and again until no more is taken, or so many bytes were; returns how many. */
+    int writeUntilStuck(byte[] packet, int most) throws IOException, InterruptedException {
+        AtomicInteger written = new AtomicInteger();
+        byte[] many = new byte[packet.length * 4096];
+        for (int i = 0; i < many.length; i++) {
+            many[i] = packet[i % packet.length];
+        }
+        ScriptedEngine.daemon(() -> {
+            try {
+                for (; written.get() < most; written.addAndGet(many.length)) {
+                    write(many);
+                }
+            } catch (IOException e) {
+                // the test is over
+            }
+        });
+        int before = -1;
+        while (written.get() < most && written.get() != before) {
+            before = written.get();
+            for (int i = 0; i < 100 && written.get() == before; i++) {
+                TimeUnit.MILLISECONDS.sleep(10); // stuck: for a whole second nothing is taken
+            }
+        }
+        return written.get();
+    }
+
     int greeted() throws IOException {
         byte[] p = packet();
         int at = 1;
--- a/src/test/java/sandpaddle/story/GatewayStories.java
+++ b/src/test/java/sandpaddle/story/GatewayStories.java
@@ -233,6 +233,8 @@
                     "1064 field 'trace' is not 16 hex digits");
             assertEquals(client.ask(Stage.fields("lookup", 1, -4) + SQL),
                     "1064 field 'patience' is not a number of milliseconds");
+            assertEquals(client.ask(Stage.fields("lookup", 1, 15_001) + SQL), // twice 7.5 s at most
+                    "1064 a patience of 15001 ms is out of range");
             client.write(Client.command(22, "SELECT 1"));
             assertEquals(client.answer(), "1047 Unknown command");
             var broken = stage.client();
@@ -283,6 +285,21 @@
         }
     }
 
+    /** Guards memory: who asks on and reads nothing has its writes wait, and is answered once it reads. */
+    @Test
+    public void whoDoesNotReadIsNotReadEither() throws Exception {
+        try (var engine = new ScriptedEngine(c -> SILENT); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine)) {
+            var client = stage.client();
+            int most = 64 << 20; // far more than all buffers between the two hold
+            int written = client.writeUntilStuck(Client.query("SELECT 1"), most);
+            assertTrue(written < most, "all of it was taken in");
+            for (int i = 0; i < 1000; i++) {
+                assertEquals(client.answer().substring(0, 4), "1064");
+            }
+        }
+    }
+
     /** Guards clients that ask against those that keep their connection for good, or never say anything. */
     @Test
     public void atTheLimitSilentAndRestingClientsMakeRoom() throws Exception {
