At the limit a client that has rested for 10 ms makes room

Some 440 connections a second come while a gateway restarts, so none had rested for the 250 ms of MysqlFrontend.REST_LEAST. Ruled out: silent clients (1 to 8 opening) and those that are ending (0 to 3).

--- a/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -24,7 +24,7 @@
     /** Connections that are ending at one time, beside the sessions. */
     public static final int MOST_LEAVING = 24;
     private static final Duration SILENT_LEAST = Duration.ofMillis(100);
-    private static final Duration REST_LEAST = Duration.ofMillis(250);
+    private static final Duration REST_LEAST = Duration.ofMillis(10); // a request that crosses the close is sent again
 
     private final Loop loop;
     private final QueryService service;
--- a/src/test/java/sandpaddle/story/GatewayStories.java
+++ b/src/test/java/sandpaddle/story/GatewayStories.java
@@ -312,7 +312,11 @@
             int served = 0;
             for (int i = 1; served < 2 * Stage.MOST_CLIENTS; i++) {
                 assertTrue(i < 100_000, "only " + served + " were served");
-                served += stage.askOnce(Stage.fields("lookup", i, 5000) + SQL).equals("a|b|c") ? 1 : 0;
+                String answer = stage.askOnce(Stage.fields("lookup", i, 5000) + SQL);
+                served += answer.equals("a|b|c") ? 1 : 0;
+                if (served > Stage.MOST_CLIENTS) { // then all others have asked, and many rest: one makes room
+                    assertEquals(answer, "a|b|c");
+                }
                 asking.ask(Stage.fields("lookup", -i, 5000) + SQL); // who goes on asking keeps its place
             }
         }
