--- a/src/main/java/sandpaddle/http/EnginePool.java
+++ b/src/main/java/sandpaddle/http/EnginePool.java
@@ -59,11 +59,20 @@
 
     /** A connection that has been quiet for a while since its last answer, or a new one. */
     void acquire(Waiter waiter) {
+        acquire(waiter, false);
+    }
+
+    /** The same for a call that ends another one: descriptors are kept back for it. */
+    void acquireReserved(Waiter waiter) {
+        acquire(waiter, true);
+    }
+
+    private void acquire(Waiter waiter, boolean reserved) {
         EngineConnection c = quietOne();
         if (c != null) {
             waiter.up(c);
         } else {
-            connect(waiter, false);
+            connect(waiter, reserved);
         }
     }
 
@@ -84,16 +93,6 @@
         return null;
     }
 
-    /** The same for a call that ends another one: descriptors are kept back for it. */
-    void acquireReserved(Waiter waiter) {
-        EngineConnection c = quietOne();
-        if (c != null) {
-            waiter.up(c);
-        } else {
-            connect(waiter, true);
-        }
-    }
-
     /** A new connection, whatever is idle. */
     void connect(Waiter waiter) {
         connect(waiter, false);
