One parent and a gateway module; the composition root and the core in rooms of their own

Need: a lab of stand-ins is to stand beside the gateway, with libraries that serve must not load; serve knew mysql through Server, and http knew serve through ResultSet.

Change: parent pom with the module gateway/; app holds Main and Server, query what every protocol meets, Micros stands at the module's boundary in decide. LayersTest (ArchUnit) holds the direction of imports.

--- a/Makefile
+++ b/Makefile
@@ -10,4 +10,4 @@
 	mvn -B -q compile checkstyle:check
 
 run: build
-	BALANCER_CONFIG=examples/config.json java -jar target/sandpaddle.jar serve
+	BALANCER_CONFIG=examples/config.json java -jar gateway/target/sandpaddle.jar serve
--- a/src/main/java/sandpaddle/Main.java
+++ b/gateway/src/main/java/sandpaddle/app/Main.java
@@ -1,4 +1,4 @@
-package sandpaddle;
+package sandpaddle.app;
 
 import java.io.BufferedOutputStream;
 import java.io.FileDescriptor;
@@ -7,7 +7,6 @@
 import java.time.Clock;
 import sandpaddle.config.Config;
 import sandpaddle.config.FieldException;
-import sandpaddle.serve.Server;
 import sandpaddle.sim.Adapter;
 import sun.misc.Signal;
 
--- a/src/main/java/sandpaddle/serve/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -1,4 +1,4 @@
-package sandpaddle.serve;
+package sandpaddle.app;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -10,10 +10,13 @@
 import sandpaddle.config.FieldException;
 import sandpaddle.decide.Decide;
 import sandpaddle.decide.Gateway;
+import sandpaddle.decide.Micros;
 import sandpaddle.feed.Feed;
 import sandpaddle.http.Engines;
 import sandpaddle.mysql.MysqlFrontend;
 import sandpaddle.net.Loop;
+import sandpaddle.query.Frontend;
+import sandpaddle.serve.Dispatcher;
 
 /** One gateway: all parts put together, its start and its planned end. */
 public final class Server {
--- a/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -2,11 +2,11 @@
 
 import static sandpaddle.decide.State.NEVER;
 
-import sandpaddle.decide.State.*;
 import java.util.*;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import sandpaddle.decide.State.*;
 
 /**
  * All decisions of one gateway. The interface (settings, events, actions) is in Gateway.java.
--- a/src/main/java/sandpaddle/serve/Micros.java
+++ b/gateway/src/main/java/sandpaddle/decide/Micros.java
@@ -1,27 +1,27 @@
-package sandpaddle.serve;
+package sandpaddle.decide;
 
 import java.time.Duration;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 
 /** The module's microseconds, and the durations and instants of all the rest. */
-final class Micros {
+public final class Micros {
     private Micros() {
     }
 
-    static long of(Instant t) {
+    public static long of(Instant t) {
         return ChronoUnit.MICROS.between(Instant.EPOCH, t);
     }
 
-    static long of(Duration d) {
+    public static long of(Duration d) {
         return d.toNanos() / 1000;
     }
 
-    static Instant instant(long us) {
+    public static Instant instant(long us) {
         return Instant.EPOCH.plus(us, ChronoUnit.MICROS);
     }
 
-    static Duration span(long us) {
+    public static Duration span(long us) {
         return Duration.of(us, ChronoUnit.MICROS);
     }
 }
--- a/src/main/java/sandpaddle/decide/State.java
+++ b/gateway/src/main/java/sandpaddle/decide/State.java
@@ -1,8 +1,5 @@
 package sandpaddle.decide;
 
-import sandpaddle.decide.Gateway.EngineEntry;
-import sandpaddle.decide.Gateway.Request;
-import sandpaddle.decide.Gateway.RequestClass;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,6 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
+import sandpaddle.decide.Gateway.EngineEntry;
+import sandpaddle.decide.Gateway.Request;
+import sandpaddle.decide.Gateway.RequestClass;
 
 /** What a gateway remembers, for {@link Decide}; it decides nothing. */
 final class State {
--- a/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import sandpaddle.net.Loop;
 import sandpaddle.net.Timers;
-import sandpaddle.serve.ResultSet;
+import sandpaddle.query.ResultSet;
 
 /**
  * The life of one attempt: POST, long polls until its end, the further pages. It ends when its end is read, or
--- a/src/main/java/sandpaddle/http/AttemptEnd.java
+++ b/gateway/src/main/java/sandpaddle/http/AttemptEnd.java
@@ -1,6 +1,6 @@
 package sandpaddle.http;
 
-import sandpaddle.serve.ResultSet;
+import sandpaddle.query.ResultSet;
 
 /** How an attempt ended, and with that how far it had come. {@code stats} is null where none came. */
 public sealed interface AttemptEnd {
--- a/src/main/java/sandpaddle/mysql/Messages.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Messages.java
@@ -1,7 +1,7 @@
 package sandpaddle.mysql;
 
 import java.nio.charset.StandardCharsets;
-import sandpaddle.serve.ResultSet;
+import sandpaddle.query.ResultSet;
 
 /** The packets that a server of the client protocol 4.1 sends. */
 final class Messages {
--- a/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -13,8 +13,8 @@
 import sandpaddle.net.Connection;
 import sandpaddle.net.Farewell;
 import sandpaddle.net.Loop;
-import sandpaddle.serve.Frontend;
-import sandpaddle.serve.QueryService;
+import sandpaddle.query.Frontend;
+import sandpaddle.query.QueryService;
 
 /** Listens for clients of the MySQL protocol and keeps their sessions by connection id. */
 public final class MysqlFrontend implements Frontend {
--- a/src/main/java/sandpaddle/mysql/Session.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Session.java
@@ -9,8 +9,8 @@
 import sandpaddle.net.Connection;
 import sandpaddle.net.Loop;
 import sandpaddle.net.Timers;
-import sandpaddle.serve.Answer;
-import sandpaddle.serve.QueryService;
+import sandpaddle.query.Answer;
+import sandpaddle.query.QueryService;
 
 /** One client's connection: login, then one command at a time. */
 final class Session implements Connection.Owner {
--- a/src/main/java/sandpaddle/mysql/Statement.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Statement.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import sandpaddle.serve.Query;
+import sandpaddle.query.Query;
 
 /** The text of a COM_QUERY: a KILL, or a statement with its fields in a comment before it. */
 sealed interface Statement {
--- a/src/main/java/sandpaddle/serve/Frontend.java
+++ b/gateway/src/main/java/sandpaddle/query/Frontend.java
@@ -1,4 +1,4 @@
-package sandpaddle.serve;
+package sandpaddle.query;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/src/main/java/sandpaddle/serve/ResultSet.java
+++ b/gateway/src/main/java/sandpaddle/query/ResultSet.java
@@ -1,4 +1,4 @@
-package sandpaddle.serve;
+package sandpaddle.query;
 
 import java.util.List;
 
--- a/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -14,11 +14,15 @@
 import sandpaddle.config.ListEvent;
 import sandpaddle.config.Names;
 import sandpaddle.decide.Gateway;
+import sandpaddle.decide.Micros;
 import sandpaddle.http.Attempt;
 import sandpaddle.http.AttemptEnd;
 import sandpaddle.http.AttemptOrder;
 import sandpaddle.http.Engines;
 import sandpaddle.net.Loop;
+import sandpaddle.query.Answer;
+import sandpaddle.query.Query;
+import sandpaddle.query.QueryService;
 
 /**
  * Joins frontends and engines through the decision module. What happens is gathered as the module's events;
--- a/src/main/java/sandpaddle/serve/Exchange.java
+++ b/gateway/src/main/java/sandpaddle/serve/Exchange.java
@@ -4,6 +4,8 @@
 import java.util.function.Consumer;
 import sandpaddle.http.Attempt;
 import sandpaddle.net.Timers;
+import sandpaddle.query.Answer;
+import sandpaddle.query.Query;
 
 /**
  * A query that was taken, until its final answer has been given and no attempt is out. The way to the client
--- a/src/test/java/sandpaddle/HangUpTest.java
+++ b/gateway/src/test/java/sandpaddle/app/HangUpTest.java
@@ -1,4 +1,4 @@
-package sandpaddle;
+package sandpaddle.app;
 
 import static org.testng.Assert.assertTrue;
 
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/app/LayersTest.java
@@ -0,0 +1,52 @@
+package sandpaddle.app;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Guards the direction of imports that README's table tells. */
+class LayersTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("sandpaddle");
+
+    @Test
+    void nothingKnowsTheCompositionRoot() {
+        noClasses().that().resideOutsideOfPackage("sandpaddle.app..").should().dependOnClassesThat()
+                .resideInAPackage("sandpaddle.app..").check(ALL);
+    }
+
+    @Test
+    void theCoreKnowsNoProtocol() {
+        noClasses().that().resideInAnyPackage("sandpaddle.query..", "sandpaddle.serve..", "sandpaddle.decide..")
+                .should().dependOnClassesThat().resideInAnyPackage("sandpaddle.mysql..").check(ALL);
+        noClasses().that().resideInAPackage("sandpaddle.http..").should().dependOnClassesThat()
+                .resideInAnyPackage("sandpaddle.serve..", "sandpaddle.mysql..").check(ALL);
+    }
+
+    /** Decisions have no sockets, files, threads or clock, and write no log. */
+    @Test
+    void decisionsAreFreeOfInputOutputAndClock() {
+        noClasses().that().resideInAnyPackage("sandpaddle.decide..").should().dependOnClassesThat()
+                .resideInAnyPackage("java.io..", "java.net..", "java.nio.channels..", "java.nio.file..",
+                        "java.util.concurrent..", "org.tinylog..", "sandpaddle.net..")
+                .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class,
+                        "currentTimeMillis").check(ALL);
+    }
+
+    @Test
+    void packagesHaveNoCycles() {
+        slices().matching("sandpaddle.(*)..").should().beFreeOfCycles().check(ALL);
+    }
+
+    @Test
+    void theAdapterStandsOnTheModuleAlone() {
+        classes().that().resideInAPackage("sandpaddle.sim..").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("java..", "com.fasterxml.jackson..", "sandpaddle.sim..", "sandpaddle.decide..",
+                        "sandpaddle.config..").check(ALL);
+    }
+}
--- a/src/test/java/sandpaddle/decide/DecideTest.java
+++ b/gateway/src/test/java/sandpaddle/decide/DecideTest.java
@@ -37,7 +37,7 @@
 
     @Test
     void moduleKeepsItsSize() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/sandpaddle/decide/Decide.java"));
+        List<String> lines = Files.readAllLines(Path.of("gateway/src/main/java/sandpaddle/decide/Decide.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 1000);
         assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
     }
--- a/src/test/java/sandpaddle/story/Stage.java
+++ b/gateway/src/test/java/sandpaddle/story/Stage.java
@@ -11,10 +11,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import sandpaddle.app.Server;
 import sandpaddle.config.Config;
 import sandpaddle.config.FieldException;
 import sandpaddle.config.Json;
-import sandpaddle.serve.Server;
 
 /** A gateway in a thread of its own, between the scripted peers of one test. */
 final class Stage implements AutoCloseable {
