--- a/gateway/src/main/java/sandpaddle/app/Main.java
+++ b/gateway/src/main/java/sandpaddle/app/Main.java
@@ -1,73 +1,43 @@
 package sandpaddle.app;
 
-import java.io.BufferedOutputStream;
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
-import java.io.IOException;
-import java.time.Clock;
-import sandpaddle.config.Config;
-import sandpaddle.config.FieldException;
-import sandpaddle.sim.Adapter;
-import sun.misc.Signal;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
 
 /**
- * Command line: {@code serve} is one real gateway; {@code adapter} speaks the simulator's wire on standard input
- * and output.
+ * The command line. Guards the start of a gateway that is started under load with half a core: picocli costs 70 to
+ * 100 ms of CPU beside the 200 ms until it listens, so the plain forms of what the platform starts go past it.
  */
+@Command(name = "sandpaddle", mixinStandardHelpOptions = true, versionProvider = VersionCommand.class,
+        description = "A gateway before analytic query engines.",
+        synopsisSubcommandLabel = "COMMAND",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:done", "1:failed while running", "2:the command line or a file cannot be used"},
+        footerHeading = "%nExamples:%n",
+        footer = {"  BALANCER_CONFIG=examples/config.json java -jar sandpaddle.jar serve",
+            "  java -jar sandpaddle.jar check deploy/sandpaddle.json",
+            "  java -jar sandpaddle.jar help serve"},
+        subcommands = {ServeCommand.class, AdapterCommand.class, CheckCommand.class, VersionCommand.class,
+            CommandLine.HelpCommand.class})
 public final class Main {
-    private static final long END_MOST_MS = 10_000;
-
-    private Main() { }
+    /** The command line, or a file that it names, cannot be used. */
+    static final int UNUSABLE = 2;
+    /** Failed while running. */
+    static final int FAILED = 1;
 
     public static void main(String[] args) {
-        String command = args.length == 1 ? args[0] : "";
-        switch (command) {
-            case "serve" -> serve();
-            case "adapter" -> adapt();
-            default -> {
-                System.err.println("usage: java -jar sandpaddle.jar serve|adapter");
-                System.exit(2);
-            }
-        }
-    }
-
-    private static void serve() {
-        try {
-            Server server = new Server(() -> Config.load(System.getenv()), Clock.systemUTC());
-            onHangUp(server::reloadConfig);
-            Thread main = Thread.currentThread();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                server.end();
-                try {
-                    main.join(END_MOST_MS); // the process lives until this hook ends
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }));
-            server.run();
-        } catch (FieldException e) {
-            System.err.println("sandpaddle: configuration: " + e.getMessage());
-            System.exit(2);
-        } catch (IOException e) {
-            System.err.println("sandpaddle: cannot serve: " + e);
-            System.exit(1);
+        int code = run(args);
+        if (code != 0) {
+            System.exit(code);
         }
     }
 
-    /** Guards against the JVM's own answer to SIGHUP, which is to end. The task runs in a thread of the JVM's. */
-    static void onHangUp(Runnable task) {
-        Signal.handle(new Signal("HUP"), signal -> task.run());
-    }
-
-    private static void adapt() {
-        try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
-            new Adapter(System.in, out).run();
-        } catch (Adapter.WireException e) {
-            System.err.println("sandpaddle: " + e.getMessage());
-            System.exit(1);
-        } catch (IOException e) {
-            System.err.println("sandpaddle: input or output failed: " + e.getMessage());
-            System.exit(1);
+    static int run(String... args) {
+        ServeCommand serve = ServeCommand.plain(args);
+        if (serve != null) {
+            return serve.call();
         }
+        boolean adapter = args.length == 1 && args[0].equals("adapter");
+        return adapter ? new AdapterCommand().call() : new CommandLine(new Main())
+                .setCaseInsensitiveEnumValuesAllowed(true).execute(args);
     }
 }
--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -8,6 +8,7 @@
 import org.tinylog.Logger;
 import sandpaddle.config.Config;
 import sandpaddle.config.FieldException;
+import sandpaddle.config.OperatorFile;
 import sandpaddle.decide.Decide;
 import sandpaddle.decide.Gateway;
 import sandpaddle.decide.Micros;
@@ -36,6 +37,8 @@
     private final List<Frontend> frontends;
     private final Config config;
     private final ConfigSource source;
+    private final OperatorSource operatorSource;
+    private OperatorFile operator;
     private final Feed feed;
     private volatile boolean endAsked, reloadAsked, aborted;
     private boolean ending, graceOver;
@@ -45,15 +48,30 @@
         Config load() throws FieldException;
     }
 
+    /** Where the operator's file is read, now and again. */
+    public interface OperatorSource {
+        OperatorFile load() throws OperatorFile.FaultyException;
+    }
+
+    /** Without an operator's file. */
     public Server(ConfigSource source, Clock clock) throws IOException, FieldException {
+        this(source, () -> OperatorFile.NONE, OperatorFile.NONE, clock);
+    }
+
+    /** {@code operator}: the operator's file as it was read for the start. */
+    public Server(ConfigSource source, OperatorSource operatorSource, OperatorFile operator, Clock clock)
+            throws IOException, FieldException {
         this.source = source;
+        this.operatorSource = operatorSource;
+        this.operator = operator;
         config = source.load();
         loop = new Loop(clock);
         int forClients = config.sockets() / CLIENTS_PART + MORE_CLIENTS;
         int forEngines = config.sockets() - forClients - MysqlFrontend.MOST_LEAVING - OTHER_DESCRIPTORS;
         engines = new Engines(loop, config.connectTimeout(), config.engineIdle(), Math.max(1, forEngines));
         dispatcher = new Dispatcher(loop, new Decide(config.settings(), config.seed()), config.settings(),
-                config.names(), engines);
+                config.names(), engines, config.seed());
+        dispatcher.storm(operator.storm());
         config.known().forEach(dispatcher::listed);
         feed = new Feed(loop, config.feed(), config.names(), config.knownNumber(), dispatcher::listed);
         feed.start();
@@ -77,6 +95,7 @@
         }
         if (reloadAsked) {
             reloadAsked = false;
+            reloadOperator();
             reload();
         }
         dispatcher.handOn();
@@ -126,7 +145,24 @@
         feed.moveTo(next.feed());
     }
 
-    /** From any thread: read the configuration again. */
+    /** Takes the operator's file over whole, or, where anything in it is at fault, nothing of it. */
+    private void reloadOperator() {
+        try {
+            OperatorFile next = operatorSource.load();
+            if (!next.equals(operator)) {
+                if (!next.log().equals(operator.log())) {
+                    Logger.warn("operator's file: 'log' is taken over at the next start");
+                }
+                dispatcher.storm(next.storm());
+                operator = next;
+                Logger.info("operator's file taken over");
+            }
+        } catch (OperatorFile.FaultyException e) {
+            e.faults().lines().forEach(l -> Logger.error("operator's file not taken over: {}", l));
+        }
+    }
+
+    /** From any thread: read the configuration and the operator's file again. */
     public void reloadConfig() {
         reloadAsked = true;
         loop.wakeUp();
--- /dev/null
+++ b/gateway/src/main/java/sandpaddle/config/SchemaCheck.java
@@ -0,0 +1,160 @@
+package sandpaddle.config;
+
+import dev.harrel.jsonschema.Dialects;
+import dev.harrel.jsonschema.Error;
+import dev.harrel.jsonschema.JsonNode;
+import dev.harrel.jsonschema.JsonNodeFactory;
+import dev.harrel.jsonschema.SimpleType;
+import dev.harrel.jsonschema.Validator;
+import dev.harrel.jsonschema.ValidatorFactory;
+import java.io.IOException;
+import java.io.InputStream;
+import java.math.BigDecimal;
+import java.math.BigInteger;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * The operator's file against its JSON Schema, by a library that only the command {@code check} loads. The reader that
+ * {@code serve} uses knows the same bounds and more; a test holds the two together.
+ */
+public final class SchemaCheck {
+    private final Validator validator;
+    private final URI schema;
+
+    /** With the schema that is in the jar. */
+    public SchemaCheck() {
+        validator = new ValidatorFactory().withDefaultDialect(new Dialects.Draft2020Dialect())
+                .withJsonNodeFactory(new Nodes()).createValidator();
+        try (InputStream in = SchemaCheck.class.getResourceAsStream("/" + OperatorFile.SCHEMA)) {
+            schema = validator.registerSchema(new String(in.readAllBytes(), StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new IllegalStateException("the schema is not in the jar", e);
+        }
+    }
+
+    /**
+     * Checks a text against the schema, and then as {@code serve} reads it. Where both find fault with one place the
+     * reader's words stand, since they tell what is allowed.
+     */
+    public Faults check(String file, byte[] text) {
+        Faults all = new Faults(file);
+        try {
+            OperatorFile.read(text, all);
+        } catch (OperatorFile.FaultyException e) {
+            // its faults are in the list
+        }
+        Faults syntax = new Faults(file);
+        Tree tree = Tree.read(text, syntax);
+        if (tree != null) {
+            Set<String> told = all.list().stream().map(Faults.Fault::path).collect(Collectors.toSet());
+            for (Error e : validator.validate(schema, new Node(tree, "")).getErrors()) {
+                add(tree, e, told, all);
+            }
+        }
+        return all;
+    }
+
+    private static void add(Tree tree, Error e, Set<String> told, Faults all) {
+        StringBuilder path = new StringBuilder();
+        Tree at = tree;
+        for (String step : e.getInstanceLocation().split("/")) {
+            if (step.isEmpty() || at == null) {
+                continue;
+            }
+            String key = step.replace("~1", "/").replace("~0", "~");
+            boolean list = at.value() instanceof List;
+            at = at.value() instanceof Map<?, ?> m ? (Tree) m.get(key)
+                    : at.value() instanceof List<?> l ? (Tree) l.get(Integer.parseInt(key)) : null;
+            path.append(list ? "[" + key + "]" : path.length() == 0 ? key : "." + key);
+        }
+        if (at != null && told.stream().noneMatch(t -> t.startsWith(path.toString()))) {
+            all.add(at.line(), at.column(), path.toString(), at.shown(), "by the schema: " + e.getError());
+        }
+    }
+
+    private static final class Nodes implements JsonNodeFactory {
+        @Override
+        public JsonNode wrap(Object o) {
+            return o instanceof JsonNode n ? n : new Node((Tree) o, "");
+        }
+
+        @Override
+        public JsonNode create(String json) {
+            Faults faults = new Faults("schema");
+            Tree t = Tree.read(json.getBytes(StandardCharsets.UTF_8), faults);
+            if (!faults.isEmpty()) {
+                throw new IllegalArgumentException(String.join("; ", faults.lines()));
+            }
+            return new Node(t, "");
+        }
+    }
+
+    /** A tree as the library looks at it. */
+    private record Node(Tree tree, String pointer) implements JsonNode {
+        @Override
+        public String getJsonPointer() {
+            return pointer;
+        }
+
+        @Override
+        public SimpleType getNodeType() {
+            Object v = tree.value();
+            if (v == null) {
+                return SimpleType.NULL;
+            } else if (v instanceof Boolean) {
+                return SimpleType.BOOLEAN;
+            } else if (v instanceof String) {
+                return SimpleType.STRING;
+            } else if (v instanceof Long || v instanceof Double d && d == Math.rint(d) && !Double.isInfinite(d)) {
+                return SimpleType.INTEGER;
+            } else if (v instanceof Double) {
+                return SimpleType.NUMBER;
+            }
+            return v instanceof List ? SimpleType.ARRAY : SimpleType.OBJECT;
+        }
+
+        @Override
+        public boolean asBoolean() {
+            return (Boolean) tree.value();
+        }
+
+        @Override
+        public String asString() {
+            return (String) tree.value();
+        }
+
+        @Override
+        public BigInteger asInteger() {
+            return asNumber().toBigInteger();
+        }
+
+        @Override
+        public BigDecimal asNumber() {
+            return tree.value() instanceof Long n ? BigDecimal.valueOf(n) : new BigDecimal((Double) tree.value());
+        }
+
+        @Override
+        public List<JsonNode> asArray() {
+            List<JsonNode> list = new ArrayList<>();
+            for (Object t : (List<?>) tree.value()) {
+                list.add(new Node((Tree) t, pointer + "/" + list.size()));
+            }
+            return list;
+        }
+
+        @Override
+        public Map<String, JsonNode> asObject() {
+            Map<String, JsonNode> map = new LinkedHashMap<>();
+            ((Map<?, ?>) tree.value()).forEach((k, t) -> map.put((String) k,
+                    new Node((Tree) t, pointer + "/" + JsonNode.encodeJsonPointer((String) k))));
+            return map;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/sandpaddle/config/Section.java
@@ -0,0 +1,182 @@
+package sandpaddle.config;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * An object of the operator's file, read key by key with its type, its bounds and its default. A fault is noted and
+ * the default taken in its place, so that one reading finds them all. What no reader asked for is a fault too.
+ */
+public final class Section {
+    private static final int NEAR = 3; // changed letters within which an unknown key is taken for a slip
+
+    private final String path;
+    private final Tree tree;
+    private final Map<String, Tree> members;
+    private final Faults faults;
+    private final Set<String> asked = new HashSet<>();
+    private final List<Section> parts = new ArrayList<>();
+
+    private Section(String path, Tree tree, Faults faults) {
+        this.path = path;
+        this.tree = tree;
+        this.faults = faults;
+        members = membersOf(tree);
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Tree> membersOf(Tree tree) {
+        return tree != null && tree.value() instanceof Map ? (Map<String, Tree>) tree.value() : Map.of();
+    }
+
+    /** The outermost object; null stands for an empty one. */
+    static Section of(Tree tree, Faults faults) {
+        return new Section("", tree, faults);
+    }
+
+    public boolean has(String key) {
+        return members.containsKey(key);
+    }
+
+    /** An object within this one; one that is absent reads as empty. */
+    public Section section(String key) {
+        Tree t = get(key);
+        if (t != null && !(t.value() instanceof Map)) {
+            wrong(key, "an object");
+            t = null;
+        }
+        Section part = new Section(Faults.join(path, key), t, faults);
+        parts.add(part);
+        return part;
+    }
+
+    public boolean flag(String key, boolean otherwise) {
+        Tree t = get(key);
+        if (t == null || t.value() instanceof Boolean) {
+            return t == null ? otherwise : (Boolean) t.value();
+        }
+        wrong(key, "true or false");
+        return otherwise;
+    }
+
+    public long integer(String key, long otherwise, long least, long most) {
+        Tree t = get(key);
+        if (t == null) {
+            return otherwise;
+        }
+        if (whole(t.value()) instanceof Long n && n >= least && n <= most) {
+            return n;
+        }
+        wrong(key, "a whole number from " + least + " to " + most);
+        return otherwise;
+    }
+
+    /** JSON has one kind of number: 5.0 is 5. */
+    private static Object whole(Object value) {
+        return value instanceof Double d && d == Math.rint(d) && Math.abs(d) < 1L << 53 ? (Object) d.longValue() : value;
+    }
+
+    public double number(String key, double otherwise, double least, double most) {
+        Tree t = get(key);
+        if (t == null) {
+            return otherwise;
+        }
+        if (t.value() instanceof Number n && n.doubleValue() >= least && n.doubleValue() <= most) {
+            return n.doubleValue();
+        }
+        wrong(key, "a number from " + least + " to " + most);
+        return otherwise;
+    }
+
+    /** A time in whole milliseconds. */
+    public Duration millis(String key, Duration otherwise, Duration least, Duration most) {
+        return Duration.ofMillis(integer(key, otherwise.toMillis(), least.toMillis(), most.toMillis()));
+    }
+
+    /** One of an enum's names, in lower case with dashes. */
+    public <E extends Enum<E>> E oneOf(String key, E otherwise, Class<E> type) {
+        Tree t = get(key);
+        if (t == null) {
+            return otherwise;
+        }
+        List<String> names = Arrays.stream(type.getEnumConstants()).map(Section::name).toList();
+        int i = t.value() instanceof String s ? names.indexOf(s) : -1;
+        if (i < 0) {
+            wrong(key, "one of \"" + String.join("\", \"", names) + "\"");
+            return otherwise;
+        }
+        return type.getEnumConstants()[i];
+    }
+
+    private static String name(Enum<?> e) {
+        return e.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** A text that no one reads, as {@code $schema} for editors. */
+    public void ignore(String key) {
+        Tree t = get(key);
+        if (t != null && !(t.value() instanceof String)) {
+            wrong(key, "a text");
+        }
+    }
+
+    /** A value that is right by itself and wrong beside others. */
+    public void wrong(String key, String allowed) {
+        Tree t = members.get(key);
+        Tree at = t != null ? t : tree;
+        faults.add(at == null ? 1 : at.line(), at == null ? 1 : at.column(), Faults.join(path, key),
+                t == null ? "nothing" : t.shown(), allowed);
+    }
+
+    private Tree get(String key) {
+        asked.add(key);
+        Tree t = members.get(key);
+        if (t != null && t.value() == null) {
+            wrong(key, "a value, or no such key");
+            return null;
+        }
+        return t;
+    }
+
+    /** Notes every key that was not asked for, here and in the objects within. */
+    void noOthers() {
+        members.forEach((key, t) -> {
+            if (!asked.contains(key)) {
+                String near = asked.stream().filter(a -> distance(a, key) <= NEAR)
+                        .min(java.util.Comparator.comparingInt(a -> distance(a, key))).orElse(null);
+                faults.add(t.line(), t.column(), Faults.join(path, key), "an unknown key",
+                        near != null ? "'" + near + "', if that was meant" : known());
+            }
+        });
+        parts.forEach(Section::noOthers);
+    }
+
+    private String known() {
+        return asked.isEmpty() ? "nothing here" : String.join(", ", asked.stream().sorted().toList());
+    }
+
+    /** Levenshtein's distance. */
+    private static int distance(String a, String b) {
+        int[] row = new int[b.length() + 1];
+        for (int j = 0; j <= b.length(); j++) {
+            row[j] = j;
+        }
+        for (int i = 1; i <= a.length(); i++) {
+            int before = row[0];
+            row[0] = i;
+            for (int j = 1; j <= b.length(); j++) {
+                int above = row[j];
+                int change = before + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
+                row[j] = Math.min(change, Math.min(row[j], row[j - 1]) + 1);
+                before = above;
+            }
+        }
+        return row[b.length()];
+    }
+}
--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -168,6 +168,15 @@
             keys.computeIfAbsent(r.key(), k -> new KeyLine()).line.add(h);
         }
         startSweeping();
+        if (r.yields() && !findsEase(h)) {
+            giveUp(h);
+        }
+    }
+
+    /** Whether an engine at ease takes a request at once that is advised to yield: then nobody loses by it. */
+    private boolean findsEase(Held h) {
+        return held.first() == h && fitting(h).stream()
+                .anyMatch(e -> hasRoom(h, e) && !pressed(e) && e.warmth(s.rules(), now) == 1);
     }
 
     /** Sends what can be sent, earliest due first; one that finds all engines full stops its class. */
--- a/gateway/src/main/java/sandpaddle/decide/Gateway.java
+++ b/gateway/src/main/java/sandpaddle/decide/Gateway.java
@@ -120,9 +120,19 @@
 
     record EngineList(ListKind kind, List<EngineEntry> entries) implements Event { }
 
-    /** A request taken; {@code key} null, {@code estimateUs} 0, {@code memoryMb} 0, {@code dataGroup} -1: not told. */
+    /**
+     * A request taken; {@code key} null, {@code estimateUs} 0, {@code memoryMb} 0, {@code dataGroup} -1: not told.
+     * {@code yields}: advice to turn it away, which the module follows where it would otherwise wait.
+     */
     record Request(String id, int cls, String key, long expiresInUs, long estimateUs, double memoryMb,
-            long dataGroup, boolean retry) implements Event { }
+            long dataGroup, boolean retry, boolean yields) implements Event {
+
+        /** One that enters. */
+        public Request(String id, int cls, String key, long expiresInUs, long estimateUs, double memoryMb,
+                long dataGroup, boolean retry) {
+            this(id, cls, key, expiresInUs, estimateUs, memoryMb, dataGroup, retry, false);
+        }
+    }
 
     /** A streamed answer has begun. */
     record Begun(String id, int attempt) implements Event { }
--- a/gateway/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -6,20 +6,16 @@
 import java.util.List;
 import sandpaddle.net.Loop;
 import sandpaddle.net.Timers;
+import sandpaddle.query.AttemptEnd;
+import sandpaddle.query.AttemptOrder;
+import sandpaddle.query.EngineSide;
 import sandpaddle.query.ResultSet;
 
 /**
  * The life of one attempt: POST, long polls until its end, the further pages. It ends when its end is read, or
  * when the DELETE that gives it up was written whole; the listener hears of the end once.
  */
-public final class Attempt {
-    /** Who is told. */
-    public interface Listener {
-        void note(String topic, double value);
-
-        void ended(AttemptEnd end);
-    }
-
+final class Attempt implements EngineSide.Running {
     static final String STATS = "x-stats";
     private static final int OK = 200;
     private static final int NOT_YET = 202;
@@ -44,7 +40,7 @@
     private final String engine;
     private final EnginePool pool;
     private final AttemptOrder order;
-    private final Listener listener;
+    private final EngineSide.Listener listener;
     private final List<byte[]> pages = new ArrayList<>();
     private final Timers.Timer timeout;
     private Phase phase = Phase.CONNECTING;
@@ -58,7 +54,7 @@
     private Instant reachedAt; // when the engine was last reached
     private Instant askedAt; // when the call that is out began
 
-    Attempt(Loop loop, Engines engines, String engine, AttemptOrder order, Listener listener) {
+    Attempt(Loop loop, Engines engines, String engine, AttemptOrder order, EngineSide.Listener listener) {
         this.loop = loop;
         this.engines = engines;
         this.engine = engine;
@@ -298,7 +294,7 @@
         });
     }
 
-    /** Withdraws it; where the request is over nobody waits for the DELETE. */
+    @Override
     public void cancel(boolean requestOver) {
         giveUp(new AttemptEnd.Cancelled(), requestOver);
     }
@@ -325,7 +321,7 @@
         }
     }
 
-    /** Changes the priority of what is out. */
+    @Override
     public void priority(int priority) {
         if (phase == Phase.OUT) {
             SideCall.make(loop, engines, pool, Requests.priority(pool.host(), order.trace(), priority), () -> { });
--- a/gateway/src/main/java/sandpaddle/http/Engines.java
+++ b/gateway/src/main/java/sandpaddle/http/Engines.java
@@ -8,9 +8,12 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import sandpaddle.net.Loop;
+import sandpaddle.query.AttemptOrder;
+import sandpaddle.query.EngineSide;
+import sandpaddle.query.ProbeEnd;
 
 /** The engines that are listed, and for a moment those that were, by id, with what their connections share. */
-public final class Engines {
+public final class Engines implements EngineSide {
     /** Idle connections end after this part of the time after which an engine closes them. */
     private static final double IDLE_PART = 0.6;
     private static final Duration SWEEP = Duration.ofSeconds(1);
@@ -47,9 +50,10 @@
     }
 
     /**
-     * The list's word on an engine. Guards against connections of a process that has died without a sign: what
+     * {@inheritDoc} Guards against connections of a process that has died without a sign: what
      * is sent on one of them would count as having run.
      */
+    @Override
     public void listed(String id, InetSocketAddress address, Instant startedAt, boolean up, boolean gone) {
         Entry e = entries.computeIfAbsent(id, k -> new Entry());
         if (e.pool == null || e.pool.isRetired() || !e.pool.address().equals(address)) {
@@ -76,7 +80,7 @@
         e.pool.retire();
     }
 
-    /** A whole list was told: what it lacks is gone. */
+    @Override
     public void keepOnly(Set<String> ids) {
         entries.forEach((id, e) -> {
             if (!ids.contains(id) && e.goneAt == null) {
@@ -85,7 +89,7 @@
         });
     }
 
-    /** Whether the list allows new work on it. */
+    @Override
     public boolean isUp(String id) {
         Entry e = entries.get(id);
         return e != null && e.up;
@@ -99,12 +103,12 @@
         return entries.get(id).pool;
     }
 
-    /** Begins an attempt; its end is told in this call or later, once. */
-    public Attempt start(String engine, AttemptOrder order, Attempt.Listener listener) {
+    @Override
+    public Running start(String engine, AttemptOrder order, Listener listener) {
         return new Attempt(loop, this, engine, order, listener);
     }
 
-    /** Asks an engine for its load. */
+    @Override
     public void probe(String engine, Consumer<ProbeEnd> told) {
         new Probe(loop, pool(engine), connectTimeout, told).start();
     }
@@ -130,7 +134,7 @@
         sideCalls += more;
     }
 
-    /** Whether every engine that was to be told to stop has been told. */
+    @Override
     public boolean isIdle() {
         return sideCalls == 0;
     }
--- a/gateway/src/main/java/sandpaddle/http/Probe.java
+++ b/gateway/src/main/java/sandpaddle/http/Probe.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 import sandpaddle.net.Loop;
+import sandpaddle.query.ProbeEnd;
 
 /** One question for an engine's load. */
 final class Probe implements EnginePool.Waiter, EngineConnection.Call {
--- a/gateway/src/main/java/sandpaddle/http/Requests.java
+++ b/gateway/src/main/java/sandpaddle/http/Requests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import sandpaddle.query.AttemptOrder;
 
 /** The calls that an engine understands, as bytes. */
 final class Requests {
--- a/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import sandpaddle.net.Acceptor;
@@ -61,8 +62,13 @@
 
     /** Guards the limit on descriptors, which engines need too: at the limit one is taken and told to go. */
     private void accepted(Connection c) {
+        Optional<Duration> away = service.turnsAwayConnection();
+        if (away.isPresent()) {
+            leaving(c, tooMany(away.get()));
+            return;
+        }
         if (sessions.size() >= mostSessions && !makeRoom()) {
-            leaving(c, Messages.error(0, SqlError.ER_CON_COUNT_ERROR, "Too many connections"));
+            leaving(c, tooMany(service.pauseWithoutRoom()));
             return;
         }
         Session s = new Session(this, loop, c, ++lastId);
@@ -73,6 +79,11 @@
                 .collect(java.io.ByteArrayOutputStream::new, (o, b) -> o.write(b), (a, b) -> { }).toByteArray()));
     }
 
+    private static byte[] tooMany(Duration pause) {
+        return Messages.error(0, SqlError.ER_CON_COUNT_ERROR,
+                "Too many connections" + (pause.isZero() ? "" : ", pause=" + pause.toMillis()));
+    }
+
     /**
      * Guards clients that ask against those that only hold their connection: the one that has been silent
      * longest since it was opened goes first, then the one that has rested longest.
--- a/gateway/src/main/java/sandpaddle/mysql/Statement.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Statement.java
@@ -23,6 +23,7 @@
             Pattern.CASE_INSENSITIVE);
     Pattern SET = Pattern.compile("\\s*SET\\s.*", Pattern.CASE_INSENSITIVE | Pattern.DOTALL);
     Pattern TRACE = Pattern.compile("[0-9a-fA-F]{16}");
+    Pattern ONCE = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     long MOST_MS = Duration.ofDays(1).toMillis();
 
     static Statement parse(byte[] text) {
@@ -64,11 +65,20 @@
         if (!(memory >= 0 && memory < Integer.MAX_VALUE)) {
             return new Unusable("field 'est_mb' is not a number of MB");
         }
+        String once = fields.getOrDefault("once", "");
+        if (!once.isEmpty() && !ONCE.matcher(once).matches()) {
+            return new Unusable("field 'once' is not 1 to 64 letters, digits, dots, dashes or underscores");
+        }
+        String again = fields.getOrDefault("again", "0");
+        if (!again.equals("0") && !again.equals("1") || again.equals("1") && once.isEmpty()) {
+            return new Unusable("field 'again' is not 0 or 1 beside 'once'");
+        }
         if (statement.isBlank()) {
             return new Unusable("no statement after the fields");
         }
         return new Ask(new Query(fields.get("route"), trace, millis(patience), millis(weight), memory,
-                SqlScanner.tableGroup(statement), statement.getBytes(StandardCharsets.ISO_8859_1)));
+                SqlScanner.tableGroup(statement), statement.getBytes(StandardCharsets.ISO_8859_1), once,
+                again.equals("1")));
     }
 
     private static Duration millis(double ms) {
--- a/gateway/src/main/java/sandpaddle/net/Loop.java
+++ b/gateway/src/main/java/sandpaddle/net/Loop.java
@@ -14,7 +14,7 @@
  * The one thread's loop. Each turn it gathers what is ready and what is due, then runs the task that hands
  * all of it on. What a turn leaves undone is asked for with {@link #again()}.
  */
-public final class Loop {
+public final class Loop implements Scheduler {
     /** What a ready channel calls. */
     public interface Handler {
         void ready(SelectionKey key) throws IOException;
@@ -39,15 +39,12 @@
         now = clock.now();
     }
 
-    /** The time of this turn. */
+    @Override
     public Instant now() {
         return now;
     }
 
-    public Timers.Timer after(Duration span, Runnable task) {
-        return timers.at(now.plus(span), task);
-    }
-
+    @Override
     public Timers.Timer at(Instant at, Runnable task) {
         return timers.at(at, task);
     }
@@ -62,7 +59,7 @@
         return channel.register(selector, ops, handler);
     }
 
-    /** The next turn does not wait. */
+    @Override
     public void again() {
         again = true;
     }
--- a/gateway/src/main/java/sandpaddle/http/AttemptEnd.java
+++ b/gateway/src/main/java/sandpaddle/query/AttemptEnd.java
@@ -1,4 +1,4 @@
-package sandpaddle.http;
+package sandpaddle.query;
 
 import sandpaddle.query.ResultSet;
 
--- a/gateway/src/main/java/sandpaddle/http/ProbeEnd.java
+++ b/gateway/src/main/java/sandpaddle/query/ProbeEnd.java
@@ -1,4 +1,4 @@
-package sandpaddle.http;
+package sandpaddle.query;
 
 /** How a probe ended; {@code stats} is null where none came. */
 public record ProbeEnd(Kind kind, String stats) {
--- a/gateway/src/main/java/sandpaddle/query/Query.java
+++ b/gateway/src/main/java/sandpaddle/query/Query.java
@@ -4,7 +4,20 @@
 
 /**
  * A query as a frontend understood it, whatever protocol it came in. {@code work} is zero, {@code memoryMb}
- * 0 and {@code tableGroup} -1 where not told.
+ * 0 and {@code tableGroup} -1 where not told. {@code once} names the run of a request that must not run twice, empty
+ * where it has no name; {@code again}: an earlier try under that name may have run.
  */
 public record Query(String route, String trace, Duration patience, Duration work, double memoryMb, long tableGroup,
-        byte[] statement) { }
+        byte[] statement, String once, boolean again) {
+
+    /** A query that names no run. */
+    public Query(String route, String trace, Duration patience, Duration work, double memoryMb, long tableGroup,
+            byte[] statement) {
+        this(route, trace, patience, work, memoryMb, tableGroup, statement, "", false);
+    }
+
+    /** The same with another patience. */
+    public Query withPatience(Duration other) {
+        return new Query(route, trace, other, work, memoryMb, tableGroup, statement, once, again);
+    }
+}
--- a/gateway/src/main/java/sandpaddle/query/QueryService.java
+++ b/gateway/src/main/java/sandpaddle/query/QueryService.java
@@ -1,5 +1,7 @@
 package sandpaddle.query;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** What stands behind every frontend. */
@@ -13,6 +15,19 @@
     /** Whether it knows engines to send to: a front that asks before should ask again. */
     boolean isReady();
 
+    /**
+     * A connection was opened: empty where it is to be served, else how long its client is to stay away. Called once
+     * for each connection, before anything is read from it.
+     */
+    default Optional<Duration> turnsAwayConnection() {
+        return Optional.empty();
+    }
+
+    /** How long a client is to stay away for which there is no room; zero where no advice is given. */
+    default Duration pauseWithoutRoom() {
+        return Duration.ZERO;
+    }
+
     /** Takes a query; the answer comes once, in this call or in a later turn of the loop. */
     Ticket submit(Query query, Consumer<Answer> answer);
 }
--- a/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -15,14 +16,14 @@
 import sandpaddle.config.Names;
 import sandpaddle.decide.Gateway;
 import sandpaddle.decide.Micros;
-import sandpaddle.http.Attempt;
-import sandpaddle.http.AttemptEnd;
-import sandpaddle.http.AttemptOrder;
-import sandpaddle.http.Engines;
-import sandpaddle.net.Loop;
+import sandpaddle.net.Scheduler;
 import sandpaddle.query.Answer;
+import sandpaddle.query.AttemptEnd;
+import sandpaddle.query.AttemptOrder;
+import sandpaddle.query.EngineSide;
 import sandpaddle.query.Query;
 import sandpaddle.query.QueryService;
+import sandpaddle.storm.StormSettings;
 
 /**
  * Joins frontends and engines through the decision module. What happens is gathered as the module's events;
@@ -35,11 +36,14 @@
     /** Times its class's limit: what a client may say that it will wait. */
     private static final long PATIENCE_MOST = 2;
 
-    private final Loop loop;
+    private final Scheduler loop;
     private final Gateway module;
     private final Gateway.Settings settings;
     private final Names names;
-    private final Engines engines;
+    private final EngineSide engines;
+    private final Door door;
+    private SharedRuns shared; // null until runs are known by name for the first time
+    private boolean namesRuns;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Set<String> traces = new HashSet<>();
     private final List<Exchange> left = new ArrayList<>();
@@ -47,12 +51,26 @@
     private boolean listSeen;
     private long serial;
 
-    public Dispatcher(Loop loop, Gateway module, Gateway.Settings settings, Names names, Engines engines) {
+    /** {@code seed}: for what is drawn at random beside the module's own decisions. */
+    public Dispatcher(Scheduler loop, Gateway module, Gateway.Settings settings, Names names, EngineSide engines,
+            long seed) {
         this.loop = loop;
         this.module = module;
         this.settings = settings;
         this.names = names;
         this.engines = engines;
+        door = new Door(loop, settings, seed);
+    }
+
+    /** Takes the operator's settings over. Runs known by name stay known, also while the fields are not in use. */
+    public void storm(StormSettings next) {
+        door.settings(next);
+        namesRuns = next.loads().enabled();
+        if (shared != null) {
+            shared.settings(next.loads());
+        } else if (namesRuns) {
+            shared = new SharedRuns(loop, next.loads());
+        }
     }
 
     // ---- What happens.
@@ -72,7 +90,9 @@
         if (change.whole()) {
             engines.keepOnly(entries.stream().map(Gateway.EngineEntry::id).collect(Collectors.toSet()));
         }
-        tell(new Gateway.EngineList(kind, entries));
+        Gateway.EngineList list = new Gateway.EngineList(kind, entries);
+        door.listed(list);
+        tell(list);
     }
 
     @Override
@@ -80,6 +100,16 @@
         return listSeen;
     }
 
+    @Override
+    public Optional<Duration> turnsAwayConnection() {
+        return door.turnsAwayConnection();
+    }
+
+    @Override
+    public Duration pauseWithoutRoom() {
+        return door.pauseWithoutRoom();
+    }
+
     @Override
     public Ticket submit(Query query, Consumer<Answer> answer) {
         int cls = names.routes().indexOf(query.route());
@@ -91,8 +121,21 @@
             answer.accept(new Answer.Invalid("a patience of " + query.patience().toMillis() + " ms is out of range"));
             return () -> { };
         }
+        boolean named = !query.once().isEmpty() && settings.classes().get(cls).effect() == Gateway.Effect.UNSAFE;
+        if (named && !namesRuns) { // to run what must not run twice as if it had no name would be a guess
+            answer.accept(new Answer.Invalid("field 'once' is not in use here"));
+            return () -> { };
+        }
+        if (named) {
+            Duration limit = Micros.span(settings.classes().get(cls).limitUs());
+            return shared.submit(query, door.fingerprint(query, cls), limit, answer, (q, end) -> take(q, cls, end));
+        }
+        return take(query, cls, answer);
+    }
+
+    private Ticket take(Query query, int cls, Consumer<Answer> answer) {
         if (exchanges.size() >= settings.limits().maxHeld()) {
-            answer.accept(new Answer.Refused(Duration.ZERO));
+            answer.accept(new Answer.Refused(door.pauseWithoutRoom()));
             return () -> { };
         }
         if (!traces.add(query.trace())) { // an engine knows a query by its trace alone
@@ -101,15 +144,18 @@
         }
         String id = query.trace() + "-" + serial++;
         Exchange x = new Exchange(id, query, cls, loop.now().plus(query.patience()), answer);
+        x.arrival = door.arrived(query, cls);
         exchanges.put(x.id, x);
         x.overdue = loop.at(x.expiresAt.plus(OVERDUE), () -> overdue(x));
         tell(new Gateway.Request(x.id, cls, null, Micros.of(query.patience()), Micros.of(query.work()),
-                query.memoryMb(), query.tableGroup(), false));
+                query.memoryMb(), query.tableGroup(), x.arrival != null && x.arrival.isReturn(),
+                x.arrival != null && x.arrival.yields()));
         return () -> leave(x);
     }
 
     private void leave(Exchange x) {
         if (!x.isOver()) {
+            door.left(x);
             x.close();
             left.add(x);
             tell(new Gateway.ClientLeft(x.id));
@@ -118,11 +164,18 @@
 
     private void overdue(Exchange x) {
         Logger.warn("no decision on {} in time", x.id);
-        x.answer(given(x, Duration.ZERO));
+        finish(x, given(x, Duration.ZERO));
         left.add(x);
         tell(new Gateway.ClientLeft(x.id));
     }
 
+    /** Every final answer goes through here. */
+    private void finish(Exchange x, Answer answer) {
+        if (!x.isOver()) {
+            x.answer(door.ended(x, answer));
+        }
+    }
+
     /** The final answer to what nobody goes on with: a refusal only where that is harmless. */
     private Answer given(Exchange x, Duration pause) {
         boolean safe = settings.classes().get(x.cls).effect() == Gateway.Effect.SAFE;
@@ -133,7 +186,7 @@
     public void endAll() {
         for (Exchange x : List.copyOf(exchanges.values())) {
             if (!x.isOver()) {
-                x.answer(given(x, Duration.ZERO));
+                finish(x, given(x, Duration.ZERO));
                 left.add(x);
                 tell(new Gateway.ClientLeft(x.id));
             }
@@ -207,7 +260,7 @@
     private void answer(String id, Answer answer) {
         Exchange x = exchanges.get(id);
         if (x != null) {
-            x.answer(answer);
+            finish(x, answer);
             tidy(x);
         }
     }
@@ -240,8 +293,9 @@
         boolean last = !until.isBefore(x.expiresAt);
         AttemptOrder order = new AttemptOrder(x.query.trace(), x.query.route(), x.query.statement(), x.memoryMb,
                 x.priority, last ? x.expiresAt : until, last);
+        door.sent(x);
         boolean[] ended = new boolean[1];
-        Attempt begun = engines.start(a.engine(), order, new Attempt.Listener() {
+        EngineSide.Running begun = engines.start(a.engine(), order, new EngineSide.Listener() {
             @Override
             public void note(String topic, double value) {
                 Gateway.Topic t = Ends.topic(topic);
@@ -262,10 +316,11 @@
 
     private void ended(Exchange x, int number, String engine, AttemptEnd end, Duration elapsed) {
         if (end instanceof AttemptEnd.Done d) {
-            x.answer(new Answer.Served(d.rows()));
+            finish(x, new Answer.Served(d.rows()));
         }
         Gateway.Result result = Ends.result(end);
         x.mayHaveRun |= !result.neverRan();
+        door.attempted(engine, result);
         outcome(x, number, engine, result, elapsed, Ends.stats(end));
         tidy(x);
     }
--- a/gateway/src/main/java/sandpaddle/serve/Ends.java
+++ b/gateway/src/main/java/sandpaddle/serve/Ends.java
@@ -1,8 +1,8 @@
 package sandpaddle.serve;
 
 import sandpaddle.decide.Gateway;
-import sandpaddle.http.AttemptEnd;
-import sandpaddle.http.ProbeEnd;
+import sandpaddle.query.AttemptEnd;
+import sandpaddle.query.ProbeEnd;
 
 /** How attempts and probes ended, in the module's words. */
 final class Ends {
--- a/gateway/src/main/java/sandpaddle/serve/Exchange.java
+++ b/gateway/src/main/java/sandpaddle/serve/Exchange.java
@@ -2,10 +2,11 @@
 
 import java.time.Instant;
 import java.util.function.Consumer;
-import sandpaddle.http.Attempt;
 import sandpaddle.net.Timers;
 import sandpaddle.query.Answer;
+import sandpaddle.query.EngineSide;
 import sandpaddle.query.Query;
+import sandpaddle.storm.Storm;
 
 /**
  * A query that was taken, until its final answer has been given and no attempt is out. The way to the client
@@ -20,7 +21,8 @@
     int priority = 1;
     double memoryMb;
     boolean mayHaveRun;
-    Attempt out;
+    EngineSide.Running out;
+    Storm.Arrival arrival; // null where no storm is looked for
     Timers.Timer overdue;
     private Consumer<Answer> client;
 
--- /dev/null
+++ b/gateway/src/main/java/sandpaddle/serve/SharedRuns.java
@@ -0,0 +1,132 @@
+package sandpaddle.serve;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import sandpaddle.decide.Micros;
+import sandpaddle.net.Scheduler;
+import sandpaddle.net.Timers;
+import sandpaddle.query.Answer;
+import sandpaddle.query.Query;
+import sandpaddle.query.QueryService;
+import sandpaddle.query.ResultSet;
+import sandpaddle.storm.LoadRuns;
+import sandpaddle.storm.StormSettings;
+
+/**
+ * Requests that must not run twice and say which run they are: all that name one run wait for its one end, each as long
+ * as it is willing. The run itself goes on to its end, whoever leaves. {@link LoadRuns} decides.
+ */
+final class SharedRuns {
+    private static final QueryService.Ticket DONE = () -> { };
+
+    /** Who waits for a run. */
+    private final class Waiter {
+        private final Run run;
+        private Consumer<Answer> client;
+        private final Timers.Timer patience;
+
+        Waiter(Run run, Query query, Consumer<Answer> client) {
+            this.run = run;
+            this.client = client;
+            Instant until = loop.now().plus(query.patience());
+            patience = loop.at(until, () -> hear(new Answer.Failed("still running; ask again with once=" + run.key
+                    + ", again=1")));
+        }
+
+        void hear(Answer answer) {
+            Consumer<Answer> to = client;
+            leave();
+            if (to != null) {
+                to.accept(answer);
+            }
+        }
+
+        void leave() {
+            client = null;
+            patience.cancel();
+            run.waiters.remove(this);
+        }
+    }
+
+    private static final class Run {
+        private final String key;
+        private final List<Waiter> waiters = new ArrayList<>();
+
+        Run(String key) {
+            this.key = key;
+        }
+    }
+
+    /** How a run is begun: the query with the run's own patience, and who hears its end. */
+    interface Starter {
+        void start(Query query, Consumer<Answer> end);
+    }
+
+    private final Scheduler loop;
+    private final LoadRuns<ResultSet> runs;
+    private final Map<String, Run> running = new LinkedHashMap<>();
+
+    SharedRuns(Scheduler loop, StormSettings.Loads settings) {
+        this.loop = loop;
+        runs = new LoadRuns<>(settings);
+    }
+
+    void settings(StormSettings.Loads next) {
+        runs.settings(next);
+    }
+
+    /** Takes a query that names its run; {@code limit}: how long a run may take. */
+    QueryService.Ticket submit(Query query, long fingerprint, Duration limit, Consumer<Answer> client,
+            Starter starter) {
+        String key = query.once();
+        switch (runs.claim(Micros.of(loop.now()), key, fingerprint, query.again())) {
+            case RUN:
+                Run run = new Run(key);
+                running.put(key, run);
+                Waiter first = new Waiter(run, query, client);
+                run.waiters.add(first);
+                starter.start(query.withPatience(limit), end -> ended(run, end));
+                return first::leave;
+            case JOIN:
+                Waiter joined = new Waiter(running.get(key), query, client);
+                running.get(key).waiters.add(joined);
+                return joined::leave;
+            case SERVED:
+                client.accept(new Answer.Served(runs.result(key)));
+                return DONE;
+            case SERVED_UNKEPT:
+                client.accept(new Answer.Failed("once=" + key + " was served; its rows are no longer kept"));
+                return DONE;
+            case MAY_HAVE_RUN:
+                client.accept(new Answer.Failed("once=" + key + " may have run; its end is not known"));
+                return DONE;
+            case NOT_KNOWN:
+                client.accept(new Answer.Failed("once=" + key + " is not known here; its first run may have run"));
+                return DONE;
+            case OTHER_STATEMENT:
+                client.accept(new Answer.Invalid("once=" + key + " stands for another statement"));
+                return DONE;
+            default:
+                client.accept(new Answer.Refused(Duration.ZERO));
+                return DONE;
+        }
+    }
+
+    private void ended(Run run, Answer answer) {
+        running.remove(run.key);
+        long now = Micros.of(loop.now());
+        if (answer instanceof Answer.Served s) {
+            long bytes = s.rows().pages().stream().mapToLong(p -> p.length).sum();
+            runs.ended(now, run.key, LoadRuns.End.SERVED, s.rows(), bytes);
+        } else {
+            boolean harmless = answer instanceof Answer.Refused || answer instanceof Answer.Invalid;
+            runs.ended(now, run.key, harmless ? LoadRuns.End.NEVER_RAN : LoadRuns.End.MAY_HAVE_RUN, null, 0);
+        }
+        List.copyOf(run.waiters).forEach(w -> w.hear(answer));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/sandpaddle/storm/ConnectionGate.java
@@ -0,0 +1,40 @@
+package sandpaddle.storm;
+
+/**
+ * Bounds new connections while no calm holds. Guards the one core against a flood of reconnects, of which each costs a
+ * greeting and a login before any query is read: a token bucket at a multiple of the usual rate, and never less than a
+ * rate that the process bears easily.
+ */
+final class ConnectionGate {
+    private static final double US = 1e6;
+    private static final double BURST_S = 1;
+
+    private StormSettings.Connections settings;
+    private double tokens;
+    private long at;
+
+    ConnectionGate(StormSettings.Connections settings, long now) {
+        this.settings = settings;
+        tokens = settings.leastPerS() * BURST_S;
+        at = now;
+    }
+
+    void settings(StormSettings.Connections next) {
+        settings = next;
+    }
+
+    /** Whether one more may be taken now; in calm all may. */
+    boolean takes(long now, Phase phase, double usualPerSecond) {
+        double rate = Math.max(settings.leastPerS(), settings.overUsual() * usualPerSecond);
+        tokens = Math.min(tokens + rate * Math.max(0, now - at) / US, rate * BURST_S);
+        at = Math.max(at, now);
+        if (phase == Phase.CALM) {
+            return true;
+        }
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/sandpaddle/storm/Phase.java
@@ -0,0 +1,52 @@
+package sandpaddle.storm;
+
+/**
+ * The states of the storm subsystem. {@link #next} tells where the signs point; {@link StormDetector} goes there once
+ * they have pointed there long enough.
+ */
+public enum Phase {
+    /** Arrivals are what clients want: nothing is damped. */
+    CALM {
+        /**
+         * A storm is many bad answers and, among the arrivals, many that come again; or a fleet of which half or less
+         * still answers. Guards a sale's true rush: there first tries make up most of what exceeds the usual, however
+         * many of them are refused.
+         */
+        @Override
+        Phase next(Signs s, StormSettings.Detection d) {
+            boolean distress = s.badShare() >= d.badShare();
+            boolean returning = s.returnShare() >= d.returnShare() && s.returnsMakeTheExcess();
+            boolean outage = s.answeringPart() <= OUTAGE && s.badShare() >= HALF;
+            return distress && returning || outage ? STORM : CALM;
+        }
+    },
+    /** Little or nothing is answered, and what was sent away comes back. */
+    STORM {
+        /** Once engines answer again the ramp begins; without any traffic there is nothing to damp. */
+        @Override
+        Phase next(Signs s, StormSettings.Detection d) {
+            if (s.answeringPart() > 0 && s.goodShare() >= ANSWERS_AGAIN) {
+                return RECOVERING;
+            }
+            return s.isQuiet() && s.answeringPart() > OUTAGE ? CALM : STORM;
+        }
+    },
+    /** Engines answer, and what is admitted grows with what they can do. */
+    RECOVERING {
+        @Override
+        Phase next(Signs s, StormSettings.Detection d) {
+            if (s.answeringPart() == 0 || s.goodShare() < ANSWERS_NO_MORE && !s.isQuiet()) {
+                return STORM; // a second outage
+            }
+            return s.isQuiet() || s.returnShare() < d.calmShare() && s.badShare() < d.calmShare() ? CALM : RECOVERING;
+        }
+    };
+
+    private static final double OUTAGE = 0.5; // part of the usual cores that still answer
+    private static final double HALF = 0.5;
+    private static final double ANSWERS_AGAIN = 0.05; // good among the final answers: some requests are served
+    private static final double ANSWERS_NO_MORE = 0.01;
+
+    /** The state that the signs point to; this one where they point nowhere else. */
+    abstract Phase next(Signs signs, StormSettings.Detection detection);
+}
--- /dev/null
+++ b/gateway/src/main/java/sandpaddle/storm/Storm.java
@@ -0,0 +1,260 @@
+package sandpaddle.storm;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import sandpaddle.decide.Gateway;
+
+/**
+ * Sees retry storms, damps them, and brings a cold fleet back. It has no sockets and no clock: every call carries the
+ * time in microseconds, never going back, and all calls come from one thread. It advises: which engine runs a request,
+ * whether it is tried again and what is refused stays with the decision module, to which the advice goes with the
+ * request. What it costs in calm is a hash of the statement and a look into a table.
+ *
+ * <p>{@link StormDetector} tells calm, storm and recovery apart; {@link Admission} is the door while no calm holds;
+ * {@link ReturnCalendar} gives those sent away a time to come back; {@link ConnectionGate} bounds reconnects. All
+ * state is bounded by the settings, and by the number of classes and listed engines.
+ */
+public final class Storm {
+    /** Between two calls of {@link #tick} (us). */
+    public static final long TICK_US = 100_000;
+    private static final long BACKGROUND_US = 3_000_000; // span of the rates of work that comes unplanned
+    private static final double IN_TIME = 0.6; // of the aim that may have passed for a return to be in time still
+
+    /** How a query ended, as far as a client's next step depends on it. */
+    public enum Ending { SERVED, REFUSED, FAILED, LEFT }
+
+    /** A query at the door; kept by its taker until its end. */
+    public static final class Arrival {
+        private final long fingerprint, firstAt, at;
+        private final int cls, tries;
+        private final double workUs;
+        private final boolean yields;
+        private final Phase phase;
+        private boolean sent;
+
+        private Arrival(long fingerprint, long firstAt, long at, int cls, int tries, double workUs, boolean yields,
+                Phase phase) {
+            this.fingerprint = fingerprint;
+            this.firstAt = firstAt;
+            this.at = at;
+            this.cls = cls;
+            this.tries = tries;
+            this.workUs = workUs;
+            this.yields = yields;
+            this.phase = phase;
+        }
+
+        /** Whether it was sent away a moment ago and comes again. */
+        public boolean isReturn() {
+            return tries > 1;
+        }
+
+        /** Whether it had better be turned away. */
+        public boolean yields() {
+            return yields;
+        }
+
+        private boolean isAdmitted() {
+            return !yields && phase != Phase.CALM;
+        }
+    }
+
+    /** A change of state, with the signs and the figures that it came with. */
+    public record Change(Phase from, Phase to, Signs signs, double capacityCores, double part, double honours,
+            double returns) { }
+
+    private final Gateway.Settings site;
+    private final SplittableRandom random;
+    private final ReturnTable table;
+    private final StormDetector detector;
+    private final FleetView fleet;
+    private final Admission admission;
+    private final ConnectionGate gate;
+    private final HonourEstimate honour;
+    private final DecayingRate unplanned; // work of first tries and of those that come early (us)
+    private StormSettings settings;
+    private ReturnCalendar calendar;
+    private long turnedAway, connectionsTurnedAway;
+
+    public Storm(Gateway.Settings site, StormSettings settings, long seed, long now) {
+        this.site = site;
+        this.settings = settings;
+        random = new SplittableRandom(seed);
+        table = new ReturnTable(settings.detection().entries(), settings.detection().memoryUs());
+        detector = new StormDetector(settings.detection(), now);
+        fleet = new FleetView(site, now);
+        admission = new Admission(site, settings.recovery(), now);
+        gate = new ConnectionGate(settings.connections(), now);
+        honour = new HonourEstimate(now);
+        unplanned = new DecayingRate(BACKGROUND_US, now);
+        calendar = calendar(settings);
+    }
+
+    private ReturnCalendar calendar(StormSettings s) {
+        long most = site.limits().maxRetryAfterUs();
+        long asked = s.calendar().mostUs();
+        most = asked > 0 ? Math.min(asked, most) : most;
+        return new ReturnCalendar(s.calendar().slotUs(), s.calendar().leastUs(), most, random.split());
+    }
+
+    /** Takes new settings over; what was learnt stays. The table keeps its size until the next start. */
+    public void settings(StormSettings next) {
+        settings = next;
+        detector.settings(next.detection());
+        admission.settings(next.recovery());
+        gate.settings(next.connections());
+        calendar = calendar(next);
+    }
+
+    // ---- Clients.
+
+    /** A query has come; {@code workUs}: its estimate, 0 where there is none. */
+    public Arrival arrived(long now, long fingerprint, int cls, long workUs) {
+        if (workUs > 0) {
+            admission.learnWork(cls, workUs);
+        }
+        double work = workUs > 0 ? workUs : admission.usualWork(cls);
+        ReturnTable.Return back = table.claim(now, fingerprint);
+        detector.arrival(now, back != null);
+        if (back != null) {
+            honour.returned(now, back);
+        }
+        if (back == null || back.backAt() == 0 || HonourEstimate.isEarly(now, back)) {
+            unplanned.add(now, work);
+        }
+        boolean yields = false;
+        if (detector.phase() != Phase.CALM) {
+            admission.fill(now, fleet.capacity(now));
+            yields = !admission.admits(cls, kind(now, cls, work, back), work);
+            turnedAway += yields ? 1 : 0;
+        }
+        return new Arrival(fingerprint, back == null ? now : back.firstAt(), now, cls,
+                back == null ? 1 : back.tries() + 1, work, yields, detector.phase());
+    }
+
+    private Admission.Kind kind(long now, int cls, double work, ReturnTable.Return back) {
+        if (back == null) {
+            return Admission.Kind.FIRST;
+        }
+        Gateway.RequestClass c = site.classes().get(cls);
+        double aim = c.aimUs() + c.aimStretch() * work / c.threads();
+        return now - back.firstAt() <= IN_TIME * aim ? Admission.Kind.RETURN : Admission.Kind.LATE_RETURN;
+    }
+
+    /** An attempt of the query was begun. */
+    public void sent(long now, Arrival a) {
+        if (!a.sent && a.isAdmitted()) {
+            admission.sent(now - a.at);
+        }
+        a.sent = true;
+    }
+
+    /**
+     * The query has had its final answer, or its client left.
+     *
+     * @param advisedUs the pause that the module advises with a refusal, 0 where none
+     * @return the pause to tell the client, 0 for none; never over the platform's most
+     */
+    public long ended(long now, Arrival a, Ending ending, long advisedUs) {
+        detector.answer(now, ending == Ending.SERVED);
+        if (ending == Ending.SERVED) {
+            return 0;
+        }
+        if (ending == Ending.REFUSED && !a.sent && a.isAdmitted()) {
+            admission.hopeless();
+        }
+        long pause = ending == Ending.REFUSED ? pause(now, a.workUs, advisedUs) : 0;
+        table.sentAway(now, a.fingerprint, a.firstAt, a.tries, pause > 0 ? now + pause : 0);
+        honour.sentAway(now);
+        return pause;
+    }
+
+    private long pause(long now, double workUs, long advisedUs) {
+        if (!site.limits().retryAfter()) {
+            return 0;
+        }
+        if (detector.phase() == Phase.CALM) {
+            return advisedUs;
+        }
+        return calendar.place(now, workUs * honour.returns(now) * honour.honours(now));
+    }
+
+    /** A connection was opened: 0 where it is taken, else the pause to send it away with. */
+    public long connection(long now) {
+        detector.connection(now);
+        if (gate.takes(now, detector.phase(), detector.usualConnections())) {
+            return 0;
+        }
+        connectionsTurnedAway++;
+        return Math.max(1, pause(now, meanWork(), 0));
+    }
+
+    /** The pause for a connection for which there is no room. */
+    public long noRoom(long now) {
+        long most = site.limits().maxRetryAfterUs();
+        return pause(now, meanWork(), most > 1 ? most / 2 + random.nextLong(most / 2) : 0);
+    }
+
+    /** What a connection's query may be, before it is read: a mean over the classes. */
+    private double meanWork() {
+        double sum = 0;
+        for (int c = 0; c < site.classes().size(); c++) {
+            sum += admission.usualWork(c);
+        }
+        return sum / site.classes().size();
+    }
+
+    // ---- Engines.
+
+    /** A list, as the decision module was told it. */
+    public void listed(long now, Gateway.ListKind kind, List<Gateway.EngineEntry> entries) {
+        fleet.listed(kind, entries);
+    }
+
+    /** An attempt ended. */
+    public void attempted(String engine, Gateway.Result result) {
+        fleet.attempt(engine, result);
+    }
+
+    // ---- Time.
+
+    /** To be called each {@link #TICK_US}; null where the state stays. */
+    public Change tick(long now) {
+        double capacity = fleet.capacity(now);
+        admission.fill(now, capacity);
+        admission.adjust(now);
+        StormDetector.Change change = detector.evaluate(now, fleet.answeringPart(now));
+        if (change != null && change.from() != Phase.RECOVERING && change.to() != Phase.CALM) {
+            admission.begin(now);
+        }
+        if (detector.phase() != Phase.CALM) {
+            double newcomers = unplanned.perSecond(now);
+            calendar.forecast(now, t -> {
+                double planned = admission.part() * fleet.capacity(t) * 1e6;
+                return Math.max(planned * (1 - settings.calendar().newcomersShare()) - newcomers, planned * LEAST_ROOM);
+            });
+        }
+        return change == null ? null : new Change(change.from(), change.to(), change.signs(), capacity,
+                admission.part(), honour.honours(now), honour.returns(now));
+    }
+
+    private static final double LEAST_ROOM = 0.1; // of what is admitted: returns are planned even beside many newcomers
+
+    // ---- What others may look at.
+
+    public Phase phase() {
+        return detector.phase();
+    }
+
+    /** Figures of the moment, for logs and measures. */
+    public Figures figures(long now) {
+        return new Figures(detector.phase(), detector.signs(now, fleet.answeringPart(now)), fleet.capacity(now),
+                admission.part(), admission.rate(), turnedAway, connectionsTurnedAway, table.used(), table.capacity(),
+                table.evicted(), honour.honours(now), honour.returns(now));
+    }
+
+    /** {@code admittedPerS} in microseconds of work a second; counts are since the start. */
+    public record Figures(Phase phase, Signs signs, double capacityCores, double part, double admittedPerS,
+            long turnedAway, long connectionsTurnedAway, int remembered, int rememberedMost, long forgotten,
+            double honours, double returns) { }
+}
--- a/gateway/src/test/java/sandpaddle/http/HttpTest.java
+++ b/gateway/src/test/java/sandpaddle/http/HttpTest.java
@@ -21,6 +21,9 @@
 import java.util.List;
 import org.testng.annotations.Test;
 import sandpaddle.net.Loop;
+import sandpaddle.query.AttemptEnd;
+import sandpaddle.query.AttemptOrder;
+import sandpaddle.query.EngineSide;
 
 public class HttpTest {
     private static ByteBuffer bytes(String text) {
@@ -58,7 +61,7 @@
         }
     }
 
-    private static final class Heard implements Attempt.Listener {
+    private static final class Heard implements EngineSide.Listener {
         private final List<AttemptEnd> ends = new ArrayList<>();
 
         @Override
