--- a/gateway/src/main/java/sandpaddle/config/Section.java
+++ b/gateway/src/main/java/sandpaddle/config/Section.java
@@ -79,7 +79,8 @@
 
     /** JSON has one kind of number: 5.0 is 5. */
     private static Object whole(Object value) {
-        return value instanceof Double d && d == Math.rint(d) && Math.abs(d) < 1L << 53 ? (Object) d.longValue() : value;
+        boolean whole = value instanceof Double d && d == Math.rint(d) && Math.abs(d) < 1L << 53;
+        return whole ? (Object) ((Double) value).longValue() : value;
     }
 
     public double number(String key, double otherwise, double least, double most) {
--- a/gateway/src/main/java/sandpaddle/config/StormReader.java
+++ b/gateway/src/main/java/sandpaddle/config/StormReader.java
@@ -25,8 +25,10 @@
 
     private static StormSettings.Detection detection(Section s) {
         StormSettings.Detection d = OFF.detection();
-        StormSettings.Detection read = new StormSettings.Detection(s.number("return_share", d.returnShare(), 0.05, 0.95),
-                s.number("bad_share", d.badShare(), 0.05, 0.95), s.number("calm_share", d.calmShare(), 0.01, 0.9),
+        StormSettings.Detection read = new StormSettings.Detection(
+                s.number("return_share", d.returnShare(), 0.05, 0.95),
+                s.number("bad_share", d.badShare(), 0.05, 0.95),
+                s.number("calm_share", d.calmShare(), 0.01, 0.9),
                 millis(s, "enter_ms", d.enterUs(), Duration.ofMillis(100), MINUTE),
                 millis(s, "calm_ms", d.calmUs(), Duration.ofMillis(500), MINUTE.multipliedBy(10)),
                 millis(s, "memory_ms", d.memoryUs(), Duration.ofMillis(500), MINUTE.multipliedBy(10)),
@@ -55,7 +57,8 @@
         return new StormSettings.Recovery(s.number("start_share", r.startShare(), 0.05, 1),
                 millis(s, "hold_target_ms", r.holdTargetUs(), Duration.ofMillis(5), MINUTE),
                 s.number("increase", r.increase(), 0.005, 1), s.number("decrease", r.decrease(), 0.1, 0.99),
-                s.number("reserve_share", r.reserveShare(), 0, 0.1), s.number("canaries_per_s", r.canariesPerS(), 0.1, 100));
+                s.number("reserve_share", r.reserveShare(), 0, 0.1),
+                s.number("canaries_per_s", r.canariesPerS(), 0.1, 100));
     }
 
     private static StormSettings.Connections connections(Section s) {
--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -173,7 +173,7 @@
         }
     }
 
-    /** Whether an engine at ease takes a request at once that is advised to yield: then nobody loses by it. */
+    /** Whether an engine at ease takes a request at once advised to yield: then nobody loses by it. */
     private boolean findsEase(Held h) {
         return held.first() == h && fitting(h).stream()
                 .anyMatch(e -> hasRoom(h, e) && !pressed(e) && e.warmth(s.rules(), now) == 1);
--- a/gateway/src/main/java/sandpaddle/net/Scheduler.java
+++ b/gateway/src/main/java/sandpaddle/net/Scheduler.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 
-/** The time of the loop's turn, and what is to be done later. {@link Loop} is the real one; tests have a virtual one. */
+/** The time of the loop's turn, and what is to be done later. {@link Loop} is the real one; tests have another. */
 public interface Scheduler {
     /** The time of this turn; it never goes back. */
     Instant now();
--- a/gateway/src/main/java/sandpaddle/query/AttemptEnd.java
+++ b/gateway/src/main/java/sandpaddle/query/AttemptEnd.java
@@ -1,7 +1,5 @@
 package sandpaddle.query;
 
-import sandpaddle.query.ResultSet;
-
 /** How an attempt ended, and with that how far it had come. {@code stats} is null where none came. */
 public sealed interface AttemptEnd {
     /** All pages are in. */
