The lab: stand-ins of engines, feed and clients; cold engines bear what they report

Need: a storm and its damping have to be seen on real gateways, and the module loaded a cold fleet to a third of what it could do.

Change: module lab with stand-ins of engines, feed and clients, each on its own side of the protocols, and the experiment 'storm'. The module: a cold engine takes up to twice the warm ones' rate while its reports show ease; the rate that warm engines bore is kept while none is warm; a query that could fell a cold engine by itself does not go there, and does not stop its class. The door: a wait that a request would meet, in place of token buckets, which shut for seconds after each heavy query.

--- a/gateway/src/main/java/sandpaddle/config/StormReader.java
+++ b/gateway/src/main/java/sandpaddle/config/StormReader.java
@@ -55,10 +55,7 @@
     private static StormSettings.Recovery recovery(Section s) {
         StormSettings.Recovery r = OFF.recovery();
         return new StormSettings.Recovery(s.number("start_share", r.startShare(), 0.05, 1),
-                millis(s, "hold_target_ms", r.holdTargetUs(), Duration.ofMillis(5), MINUTE),
-                s.number("increase", r.increase(), 0.005, 1), s.number("decrease", r.decrease(), 0.1, 0.99),
-                s.number("reserve_share", r.reserveShare(), 0, 0.1),
-                s.number("canaries_per_s", r.canariesPerS(), 0.1, 100));
+                s.number("hold_share", r.holdShare(), 0, 2), s.number("reserve_share", r.reserveShare(), 0, 0.1));
     }
 
     private static StormSettings.Connections connections(Section s) {
--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -58,6 +58,10 @@
 
     // Cold engines, giving up, housekeeping.
     private static final double COLD_PART = 0.9; // of a cold engine's present ability, at the warm ones' rate
+    private static final double COLD_EASE = 0.7; // reported share in use below which a cold engine bears more
+    private static final double COLD_GAIN = 0.15; // more of that rate at a time, every CUT_EVERY_US at most
+    private static final double COLD_GAIN_MOST = 2; // multiple of that rate
+    private static final double COLD_QUERY = 0.75; // of what fells a cold engine, one query from here at most
     private static final double RATE_SPAN_US = 5_000_000; // us: span of the rate of work sent to warm engines
     private static final long RATE_KNOWN_US = 2_000_000; // us of sending before that rate is trusted
     private static final double GIVE_UP_AHEAD = 1.5; // present latencies before due: later ones are half lost
@@ -97,6 +101,7 @@
     private double takenRate; // requests a second, smoothed
     private double firstsRate; // the first tries among them
     private int takenSince, firstsSince; // since the last sweep
+    private double borneRate; // work a core that warm engines bore, of late; kept while none is warm
     private double calmShare; // share for each first try a second, learnt while nothing is held
     private double answersSlow; // logarithm of the fleet's slowdown by answers alone
     private double viewedAverage; // threads per core over the engines seen: what one not seen counts as
@@ -191,7 +196,8 @@
                 List<Engine> open = fitting(h);
                 open.removeIf(e -> !hasRoom(h, e));
                 if (open.isEmpty()) {
-                    full[further][c] = h.cls.effect() == Effect.SAFE || further == 0;
+                    full[further][c] = (h.cls.effect() == Effect.SAFE || further == 0)
+                            && listed.stream().noneMatch(e -> fells(h, e));
                 } else {
                     send(h, choose(h, open));
                 }
@@ -513,8 +519,10 @@
 
     private void failed(Attempt a, Result result) {
         Engine e = a.engine();
-        if (result == Result.FULL) {
+        if (result.neverRan()) {
             warmWork.add(now, coresNow(e) == e.cores ? -known[a.held().request.cls()].workUs : 0);
+        }
+        if (result == Result.FULL) {
             e.busyAt = now;
             e.fullUntil = now + FULL_HOLD_US;
             fleet.busyAt = now;
@@ -676,7 +684,7 @@
             if (h.cls.mayRunOn(e.entry) && groupAllows(h, e)) {
                 cores += e.cores;
                 wellCores += judges(e, h.request.cls()).stream().anyMatch(this::closed) ? 0 : e.cores;
-                if (coldAllows(e)) {
+                if (coldAllows(h, e)) {
                     allowed.add(e);
                     if (judges(e, h.request.cls()).stream().allMatch(j -> healthy(j, h))) {
                         well.add(e);
@@ -744,19 +752,30 @@
     private double warmRate() {
         double cores = listed.stream().filter(e -> coresNow(e) == e.cores).mapToDouble(e -> e.cores).sum();
         boolean seen = cores > 0 && now - warmWork.since >= RATE_KNOWN_US;
-        return Math.min(seen ? warmWork.rate(now) / cores : share, share * s.rules().fallMultiple() / 2);
+        double rate = seen ? warmWork.rate(now) / cores : Math.max(share, borneRate);
+        return Math.min(rate, share * s.rules().fallMultiple() / 2);
     }
 
-    private boolean coldAllows(Engine e) {
+    private boolean coldAllows(Held h, Engine e) {
         if (e.warmth(s.rules(), now) == 1) {
             return true;
         }
-        double gain = warmRate() * COLD_PART * coresNow(e);
+        if (fells(h, e)) {
+            return false;
+        }
+        double most = share * s.rules().fallMultiple() / 2;
+        double gain = Math.min(warmRate() * COLD_PART * e.coldGain, most) * coresNow(e);
         e.tokensUs = Math.min(e.tokensUs + gain * (now - e.tokensAt), gain * s.rules().fallUs());
         e.tokensAt = now;
         return e.tokensUs >= 0;
     }
 
+    /** A query so heavy that a cold engine might fall over, if each gateway sent it such a one at once. */
+    private boolean fells(Held h, Engine e) {
+        double fells = s.rules().fallMultiple() * s.rules().fallUs() * coresNow(e);
+        return e.warmth(s.rules(), now) < 1 && workOf(h) > COLD_QUERY * share * fells;
+    }
+
     private void spendCold(Held h, Engine e) {
         double usual = known[h.request.cls()].workUs;
         if (e.warmth(s.rules(), now) == 1) {
@@ -834,6 +853,7 @@
             reopen(j);
         }
         e.report = null;
+        e.coldGain = 1;
         e.tokensUs = -random.nextDouble() * Arrays.stream(known).mapToDouble(k -> k.workUs).max().orElse(0);
         e.tokensAt = now;
     }
@@ -853,6 +873,7 @@
         e.report = load;
         e.reportAt = at;
         e.scarcest = 0;
+        boolean adapts = e.warmth(s.rules(), now) < 1 && now - e.cutAt > CUT_EVERY_US;
         for (int i = 0; i < load.length; i++) {
             Field f = s.reportFields().get(i);
             if (f == Field.MEMORY || inflightField < 0 && SHARES.contains(f)) { // others level off at 1
@@ -862,6 +883,11 @@
                 e.busyAt = Math.max(e.busyAt, at);
             }
         }
+        if (adapts) { // its reports tell of all gateways' work: all go the same way
+            e.cutAt = now;
+            double more = e.scarcest < COLD_EASE ? COLD_GAIN : 0;
+            e.coldGain = e.scarcest > BUSY_SHARE ? 1 : Math.min(COLD_GAIN_MOST, e.coldGain + more);
+        }
     }
 
     private void probed(ProbeResult p) {
@@ -1052,6 +1078,8 @@
             });
         }
         viewedAverage = State.average(listed, this::viewedThreads);
+        boolean someWarm = listed.stream().anyMatch(e -> coresNow(e) == e.cores);
+        borneRate += someWarm ? SHARE_WEIGHT * (warmRate() - borneRate) : 0;
         if (viewedAverage > BUSY_THREADS || ownLoadIsHigh()) {
             fleet.busyAt = now;
         }
--- a/gateway/src/main/java/sandpaddle/decide/State.java
+++ b/gateway/src/main/java/sandpaddle/decide/State.java
@@ -93,6 +93,7 @@
         double failing; // share of recent attempts
         boolean silent, probing; // silent: answers nothing, or cannot be reached
         double tokensUs; // work that it may be sent while cold
+        double coldGain; // multiple of the warm ones' rate that it bears while cold
         long reportAt = NEVER, cutAt = NEVER, busyAt = NEVER, answeredAt = NEVER, probedAt = NEVER, tokensAt;
         long closedUntil = NEVER, fullUntil = NEVER, closedFor;
 
--- a/gateway/src/main/java/sandpaddle/serve/Door.java
+++ b/gateway/src/main/java/sandpaddle/serve/Door.java
@@ -64,7 +64,8 @@
                     .with("good_per_s", c.signs().good()).with("bad_per_s", c.signs().bad())
                     .with("connections_per_s", c.signs().connections())
                     .with("answering_part", c.signs().answeringPart()).with("capacity_cores", c.capacityCores())
-                    .with("admitted_part", c.part()).with("honours", c.honours()).with("returns", c.returns());
+                    .with("admitted_cores", c.admittedPerS() / 1e6).with("honours", c.honours())
+                    .with("returns", c.returns());
             if (c.to() == Phase.STORM) {
                 e.warn();
             } else {
--- a/gateway/src/main/java/sandpaddle/storm/Admission.java
+++ b/gateway/src/main/java/sandpaddle/storm/Admission.java
@@ -1,22 +1,25 @@
 package sandpaddle.storm;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.List;
-import java.util.stream.IntStream;
+import java.util.function.LongToDoubleFunction;
 import sandpaddle.decide.Gateway;
 
 /**
- * The door while no calm holds: a token bucket of work whose rate is this gateway's part of what the fleet can do now.
+ * The door while no calm holds. A request enters if the wait that it would meet is short: the work that entered before
+ * it and stands waiting, over the rate at which work goes to engines. So the door needs no guess of what the fleet can
+ * do: where the decision module finds room at once everything enters, and as engines warm up more does.
  *
- * <p>The part grows by a fixed step while what was admitted is sent on at once, and shrinks by a factor when it stands
- * waiting (CoDel's sign: the least wait of an interval is above a target) or is turned away after waiting. The rate
- * follows the fleet's capacity by itself, so cold engines and lost ones count at once (AIMD on the part, not the rate).
+ * <p>How long a wait is short depends on the class, by the time in which its requests are wanted, and on what comes: a
+ * first try, a return that can still be in time, or a late return, whose wait is as much shorter as it earns less. A
+ * class waits only for those that leave before it, since the earliest due leaves first; and what was overtaken by a
+ * later one of its class is not counted: it is held for a reason of its own, such as its size. Besides, each kind may
+ * enter at a small share of the rate whatever the wait, so that none starves.
  *
- * <p>Who enters first is settled by worth for work, as trunk reservation does it: flows (a class's first tries, its
- * returns in time, its late returns) are ranked, and a lower one may take tokens only down to a level that rises with
- * its rank. Besides, each flow has a bucket of its own with a small share of the rate, so that none starves. Buckets
- * go into debt by the last request that they admit: a heavy one is not held up for ever by its size.
+ * <p>Two ways that were tried first and measured are in docs/design/retry-storms.md: token buckets of work, with a rate
+ * by AIMD and by what was delivered, shut the door for seconds after each heavy query.
  */
 final class Admission {
     /** What comes: a first try, a return that can still be answered when wanted, or one that cannot. */
@@ -24,152 +27,173 @@
 
     private static final int KINDS = Kind.values().length;
     private static final double US = 1e6;
-    private static final double BURST_S = 0.5; // seconds of the rate that may be saved up
-    private static final double TOP_LEVEL = 0.7; // of the burst: what the last flow must leave
+    private static final long DELIVERED_US = 1_000_000; // span of the rate of work that went to engines
+    private static final double CALM_US = 10e6; // time constant of what is usual in calm
+    private static final double WORK_WEIGHT = 0.02; // of a request in its class's usual work
+    private static final double USUAL_OF_AIM = 0.3; // before any request, a class's usual time in its aim
     private static final double RETURN_DISCOUNT = 0.9; // a first try goes before a return of like worth
-    private static final double MOST_PART = 1.5; // of the cores: much of the work is reading, which needs none
-    private static final double LEAST_OF_START = 0.25; // of the part at the start: never less
-    private static final double HOPELESS = 0.1; // share of the admitted that was turned away after waiting
-    private static final long ADJUST_US = 250_000;
     private static final long STALL_US = 1_000_000; // more saved time than that is no saving
+    private static final double HEAVY = 2; // usual works that one request counts for at most: others pass a heavy one
+
+    /** A request that entered and stands waiting for an engine. */
+    static final class Waiting {
+        private final int cls;
+        private final double work;
+        private final long number;
+        private boolean counted = true;
+
+        private Waiting(int cls, double work, long number) {
+            this.cls = cls;
+            this.work = work;
+            this.number = number;
+        }
+    }
 
     private final List<Gateway.RequestClass> classes;
     private final double equalPart;
     private StormSettings.Recovery settings;
     private final double[] usualWork; // by class (us)
+    private final List<ArrayDeque<Waiting>> lines = new ArrayList<>(); // by class, in the order of entering
+    private final double[] waiting; // work in the lines (us)
     private final double[] reserve; // by flow (us)
-    private final int[] rank; // by flow
-    private double part, tokens, canaries, rate;
-    private long at, adjustedAt;
-    private int sent, hopeless, turnedAway;
-    private long leastWait = Long.MAX_VALUE;
+    private final DecayingRate delivered;
+    private LongToDoubleFunction capacity = t -> 0;
+    private double perCore; // work a second to engines for each core, in calm (us/s)
+    private double rate;
+    private long at, entered;
 
     Admission(Gateway.Settings site, StormSettings.Recovery settings, long now) {
         classes = site.classes();
         equalPart = 1.0 / site.gateways();
         this.settings = settings;
-        usualWork = classes.stream().mapToDouble(c -> 0.3 * c.aimUs() * c.threads()).toArray();
+        usualWork = classes.stream().mapToDouble(c -> USUAL_OF_AIM * c.aimUs() * c.threads()).toArray();
+        classes.forEach(c -> lines.add(new ArrayDeque<>()));
+        waiting = new double[classes.size()];
         reserve = new double[classes.size() * KINDS];
-        rank = new int[reserve.length];
+        delivered = new DecayingRate(DELIVERED_US, now);
         at = now;
-        begin(now);
     }
 
     void settings(StormSettings.Recovery next) {
         settings = next;
     }
 
-    /** The ramp begins anew. */
-    void begin(long now) {
-        part = equalPart * settings.startShare();
-        adjustedAt = now;
-        restartInterval();
+    /** A request's estimate, whether damped or not: what a class usually asks. */
+    void learnWork(int cls, double workUs) {
+        usualWork[cls] += WORK_WEIGHT * (workUs - usualWork[cls]);
     }
 
-    /** A request's work, whether damped or not: what a class usually asks. */
-    void learnWork(int cls, double workUs) {
-        usualWork[cls] += 0.02 * (workUs - usualWork[cls]);
+    /** What a request counts for here (us), by its estimate or, where that is 0, by what its class usually asks. */
+    double counted(int cls, double estimateUs) {
+        return estimateUs > 0 ? Math.min(estimateUs, HEAVY * usualWork[cls]) : usualWork[cls];
     }
 
     double usualWork(int cls) {
         return usualWork[cls];
     }
 
-    double part() {
-        return part;
-    }
-
-    /** Work a second that is admitted now (us/s). */
+    /** Work a second that goes to engines, or could by now at least (us/s). */
     double rate() {
         return rate;
     }
 
-    /** Fills the buckets up to now at the rate for a capacity (cores). */
-    void fill(long now, double capacity) {
+    /** Brings reserves and the rate up to now; {@code capacity}: cores by time, each times how warm its engine is. */
+    void fill(long now, LongToDoubleFunction capacity) {
         double elapsed = Math.min(STALL_US, Math.max(0, now - at)) / US;
         at = Math.max(at, now);
-        rate = part * capacity * US;
-        tokens = Math.min(tokens + rate * elapsed, rate * BURST_S);
-        canaries = Math.min(canaries + settings.canariesPerS() * elapsed, Math.max(1, settings.canariesPerS()));
+        this.capacity = capacity;
+        rate = rate(now, now);
         double share = settings.reserveShare() * rate;
         for (int f = 0; f < reserve.length; f++) {
             reserve[f] = Math.min(reserve[f] + share * elapsed, Math.max(share, usualWork[f / KINDS]));
         }
     }
 
-    /** Whether a request may enter; what does takes its tokens. Call {@link #fill} first. */
+    /** Learns in calm what goes to engines for each core. */
+    void learnRate(long now, long elapsedUs, double cores) {
+        if (cores > 0) {
+            double weight = Math.min(1, elapsedUs / CALM_US);
+            perCore += weight * (delivered.perSecond(now) / cores - perCore);
+        }
+    }
+
+    /** The rate of work to engines at a time from now on, as far as it can be foreseen; 0 where none is (us/s). */
+    double rate(long now, long time) {
+        double cores = capacity.applyAsDouble(time);
+        double before = capacity.applyAsDouble(now);
+        double goesOn = before > 0 ? delivered.perSecond(now) * cores / before : 0;
+        return Math.max(Math.max(settings.startShare() * equalPart * US, perCore) * cores, goesOn);
+    }
+
+    /** Whether a request may enter; what does is told by {@link #entered}. Call {@link #fill} first. */
     boolean admits(int cls, Kind kind, double workUs) {
         int f = cls * KINDS + kind.ordinal();
-        if (rate > 0 && tokens > level(f) * rate * BURST_S) {
-            tokens -= workUs;
+        double most = mostWait(f);
+        if (rate > 0 && workAhead(cls) <= most / US * (rate + rate(at, at + (long) most)) / 2) {
             return true;
         }
         if (rate > 0 && reserve[f] > 0) {
             reserve[f] -= workUs;
             return true;
         }
-        if (canaries >= 1 && kind != Kind.LATE_RETURN && classes.get(cls).effect() == Gateway.Effect.SAFE) {
-            canaries--;
-            return true;
-        }
-        turnedAway++;
         return false;
     }
 
-    private double level(int flow) {
-        return TOP_LEVEL * rank[flow] / Math.max(1, rank.length - 1);
-    }
-
-    /** A request that was admitted went to an engine for the first time, after so long a wait (us). */
-    void sent(long waitUs) {
-        sent++;
-        leastWait = Math.min(leastWait, waitUs);
-    }
-
-    /** A request that was admitted was turned away in the end without having been sent. */
-    void hopeless() {
-        hopeless++;
+    /** Earliest due leaves first: a class waits for those whose aim is no longer than its own (us of work). */
+    private double workAhead(int cls) {
+        double ahead = 0;
+        for (int c = 0; c < waiting.length; c++) {
+            ahead += classes.get(c).aimUs() <= classes.get(cls).aimUs() ? waiting[c] : 0;
+        }
+        return ahead;
     }
 
-    /** Looks at the interval past; to be called several times a second. */
-    void adjust(long now) {
-        if (now - adjustedAt < ADJUST_US) {
-            return;
-        }
-        adjustedAt = now;
-        boolean standing = sent > 0 && leastWait > settings.holdTargetUs();
-        if (standing || hopeless > HOPELESS * (sent + hopeless)) {
-            part = Math.max(equalPart * settings.startShare() * LEAST_OF_START, part * settings.decrease());
-        } else if (turnedAway > 0 && sent > 0) {
-            part = Math.min(MOST_PART, part + settings.increase() * equalPart);
+    /** A part of the time in which a request of the class is wanted, the less the less worth it can still earn. */
+    private double mostWait(int flow) {
+        Gateway.RequestClass c = classes.get(flow / KINDS);
+        double earns = switch (Kind.values()[flow % KINDS]) {
+            case FIRST -> 1;
+            case RETURN -> RETURN_DISCOUNT;
+            case LATE_RETURN -> c.lateWorth();
+        };
+        return settings.holdShare() * (c.aimUs() + c.aimStretch() * usualWork[flow / KINDS] / c.threads()) * earns;
+    }
+
+    /** A request stands waiting for an engine, whatever let it in. */
+    Waiting entered(int cls, double workUs) {
+        Waiting w = new Waiting(cls, workUs, entered++);
+        lines.get(cls).add(w);
+        waiting[cls] += workUs;
+        return w;
+    }
+
+    /** One went to an engine; {@code w}: as it entered, null where it did not wait. */
+    void sent(long now, double workUs, Waiting w) {
+        delivered.add(now, workUs);
+        if (w != null) {
+            over(w);
+            ArrayDeque<Waiting> line = lines.get(w.cls);
+            while (!line.isEmpty() && line.peek().number < w.number) {
+                leave(line.poll());
+            }
         }
-        restartInterval();
-        rankFlows();
     }
 
-    private void restartInterval() {
-        sent = 0;
-        hopeless = 0;
-        turnedAway = 0;
-        leastWait = Long.MAX_VALUE;
+    /** One that stood waiting is waited for no more. */
+    void over(Waiting w) {
+        if (w.counted) {
+            leave(w);
+            lines.get(w.cls).remove(w);
+        }
     }
 
-    private void rankFlows() {
-        Integer[] flows = IntStream.range(0, rank.length).boxed().toArray(Integer[]::new);
-        Arrays.sort(flows, Comparator.comparingDouble(f -> -density(f)));
-        for (int i = 0; i < flows.length; i++) {
-            rank[flows[i]] = i;
-        }
+    private void leave(Waiting w) {
+        w.counted = false;
+        waiting[w.cls] = lines.get(w.cls).isEmpty() ? 0 : Math.max(0, waiting[w.cls] - w.work);
     }
 
-    /** Worth that a request of the flow still earns, for its work. */
-    private double density(int flow) {
-        Gateway.RequestClass c = classes.get(flow / KINDS);
-        double worth = switch (Kind.values()[flow % KINDS]) {
-            case FIRST -> c.worth();
-            case RETURN -> c.worth() * RETURN_DISCOUNT;
-            case LATE_RETURN -> c.worth() * c.lateWorth();
-        };
-        return worth / Math.max(1, usualWork[flow / KINDS]);
+    /** Work that stands waiting (us). */
+    double waiting() {
+        return Arrays.stream(waiting).sum();
     }
 }
--- a/gateway/src/main/java/sandpaddle/storm/FleetView.java
+++ b/gateway/src/main/java/sandpaddle/storm/FleetView.java
@@ -81,12 +81,18 @@
     }
 
     private double warmth(Seen e, long time) {
+        return e.startedAt <= 0 ? 1 : warmthAfter(time - e.startedAt);
+    }
+
+    /** The least part of its capacity that an engine has by the rules so long after its start. */
+    private double warmthAfter(long age) {
         Gateway.Rules r = settings.rules();
-        double age = time - e.startedAt;
-        if (e.startedAt <= 0 || age >= r.coldUs()) {
-            return 1;
-        }
-        return r.coldFrom() + (1 - r.coldFrom()) * Math.max(0, age) / r.coldUs();
+        return age >= r.coldUs() ? 1 : r.coldFrom() + (1 - r.coldFrom()) * Math.max(0, age) / r.coldUs();
+    }
+
+    /** Capacity at a time, or where less answers what the usual fleet could do if it came back cold now (cores). */
+    double capacityOrReturn(long now, long time) {
+        return Math.max(capacity(time), usualCores * warmthAfter(time - now));
     }
 
     /** The part of the usual fleet's cores that answers now; 1 before any fleet was seen. */
--- a/gateway/src/main/java/sandpaddle/storm/Storm.java
+++ b/gateway/src/main/java/sandpaddle/storm/Storm.java
@@ -25,23 +25,19 @@
 
     /** A query at the door; kept by its taker until its end. */
     public static final class Arrival {
-        private final long fingerprint, firstAt, at;
-        private final int cls, tries;
+        private final long fingerprint, firstAt;
+        private final int tries;
         private final double workUs;
         private final boolean yields;
-        private final Phase phase;
+        private Admission.Waiting waiting; // null: it does not wait, or no more
         private boolean sent;
 
-        private Arrival(long fingerprint, long firstAt, long at, int cls, int tries, double workUs, boolean yields,
-                Phase phase) {
+        private Arrival(long fingerprint, long firstAt, int tries, double workUs, boolean yields) {
             this.fingerprint = fingerprint;
             this.firstAt = firstAt;
-            this.at = at;
-            this.cls = cls;
             this.tries = tries;
             this.workUs = workUs;
             this.yields = yields;
-            this.phase = phase;
         }
 
         /** Whether it was sent away a moment ago and comes again. */
@@ -53,14 +49,10 @@
         public boolean yields() {
             return yields;
         }
-
-        private boolean isAdmitted() {
-            return !yields && phase != Phase.CALM;
-        }
     }
 
     /** A change of state, with the signs and the figures that it came with. */
-    public record Change(Phase from, Phase to, Signs signs, double capacityCores, double part, double honours,
+    public record Change(Phase from, Phase to, Signs signs, double capacityCores, double admittedPerS, double honours,
             double returns) { }
 
     private final Gateway.Settings site;
@@ -74,7 +66,7 @@
     private final DecayingRate unplanned; // work of first tries and of those that come early (us)
     private StormSettings settings;
     private ReturnCalendar calendar;
-    private long turnedAway, connectionsTurnedAway;
+    private long tickedAt, turnedAway, connectionsTurnedAway;
 
     public Storm(Gateway.Settings site, StormSettings settings, long seed, long now) {
         this.site = site;
@@ -88,6 +80,7 @@
         honour = new HonourEstimate(now);
         unplanned = new DecayingRate(BACKGROUND_US, now);
         calendar = calendar(settings);
+        tickedAt = now;
     }
 
     private ReturnCalendar calendar(StormSettings s) {
@@ -113,7 +106,7 @@
         if (workUs > 0) {
             admission.learnWork(cls, workUs);
         }
-        double work = workUs > 0 ? workUs : admission.usualWork(cls);
+        double work = admission.counted(cls, workUs);
         ReturnTable.Return back = table.claim(now, fingerprint);
         detector.arrival(now, back != null);
         if (back != null) {
@@ -124,12 +117,16 @@
         }
         boolean yields = false;
         if (detector.phase() != Phase.CALM) {
-            admission.fill(now, fleet.capacity(now));
+            admission.fill(now, t -> fleet.capacityOrReturn(now, t));
             yields = !admission.admits(cls, kind(now, cls, work, back), work);
             turnedAway += yields ? 1 : 0;
         }
-        return new Arrival(fingerprint, back == null ? now : back.firstAt(), now, cls,
-                back == null ? 1 : back.tries() + 1, work, yields, detector.phase());
+        Arrival a = new Arrival(fingerprint, back == null ? now : back.firstAt(),
+                back == null ? 1 : back.tries() + 1, work, yields);
+        if (!yields) {
+            a.waiting = admission.entered(cls, work);
+        }
+        return a;
     }
 
     private Admission.Kind kind(long now, int cls, double work, ReturnTable.Return back) {
@@ -143,10 +140,11 @@
 
     /** An attempt of the query was begun. */
     public void sent(long now, Arrival a) {
-        if (!a.sent && a.isAdmitted()) {
-            admission.sent(now - a.at);
+        if (!a.sent) {
+            a.sent = true;
+            admission.sent(now, a.workUs, a.waiting);
+            a.waiting = null;
         }
-        a.sent = true;
     }
 
     /**
@@ -157,12 +155,13 @@
      */
     public long ended(long now, Arrival a, Ending ending, long advisedUs) {
         detector.answer(now, ending == Ending.SERVED);
+        if (a.waiting != null) {
+            admission.over(a.waiting);
+            a.waiting = null;
+        }
         if (ending == Ending.SERVED) {
             return 0;
         }
-        if (ending == Ending.REFUSED && !a.sent && a.isAdmitted()) {
-            admission.hopeless();
-        }
         long pause = ending == Ending.REFUSED ? pause(now, a.workUs, advisedUs) : 0;
         table.sentAway(now, a.fingerprint, a.firstAt, a.tries, pause > 0 ? now + pause : 0);
         honour.sentAway(now);
@@ -221,21 +220,21 @@
     /** To be called each {@link #TICK_US}; null where the state stays. */
     public Change tick(long now) {
         double capacity = fleet.capacity(now);
-        admission.fill(now, capacity);
-        admission.adjust(now);
-        StormDetector.Change change = detector.evaluate(now, fleet.answeringPart(now));
-        if (change != null && change.from() != Phase.RECOVERING && change.to() != Phase.CALM) {
-            admission.begin(now);
+        admission.fill(now, t -> fleet.capacityOrReturn(now, t));
+        if (detector.phase() == Phase.CALM) {
+            admission.learnRate(now, now - tickedAt, capacity);
         }
+        tickedAt = now;
+        StormDetector.Change change = detector.evaluate(now, fleet.answeringPart(now));
         if (detector.phase() != Phase.CALM) {
             double newcomers = unplanned.perSecond(now);
             calendar.forecast(now, t -> {
-                double planned = admission.part() * fleet.capacity(t) * 1e6;
+                double planned = admission.rate(now, t);
                 return Math.max(planned * (1 - settings.calendar().newcomersShare()) - newcomers, planned * LEAST_ROOM);
             });
         }
         return change == null ? null : new Change(change.from(), change.to(), change.signs(), capacity,
-                admission.part(), honour.honours(now), honour.returns(now));
+                admission.rate(), honour.honours(now), honour.returns(now));
     }
 
     private static final double LEAST_ROOM = 0.1; // of what is admitted: returns are planned even beside many newcomers
@@ -249,12 +248,12 @@
     /** Figures of the moment, for logs and measures. */
     public Figures figures(long now) {
         return new Figures(detector.phase(), detector.signs(now, fleet.answeringPart(now)), fleet.capacity(now),
-                admission.part(), admission.rate(), turnedAway, connectionsTurnedAway, table.used(), table.capacity(),
-                table.evicted(), honour.honours(now), honour.returns(now));
+                admission.rate(), admission.waiting(), turnedAway, connectionsTurnedAway, table.used(),
+                table.capacity(), table.evicted(), honour.honours(now), honour.returns(now));
     }
 
     /** {@code admittedPerS} in microseconds of work a second; counts are since the start. */
-    public record Figures(Phase phase, Signs signs, double capacityCores, double part, double admittedPerS,
+    public record Figures(Phase phase, Signs signs, double capacityCores, double admittedPerS, double waitingUs,
             long turnedAway, long connectionsTurnedAway, int remembered, int rememberedMost, long forgotten,
             double honours, double returns) { }
 }
--- a/gateway/src/main/java/sandpaddle/storm/StormSettings.java
+++ b/gateway/src/main/java/sandpaddle/storm/StormSettings.java
@@ -23,13 +23,11 @@
     public record Calendar(long slotUs, long leastUs, long mostUs, double newcomersShare) { }
 
     /**
-     * The ramp after an outage: this gateway first admits {@code startShare} of its equal part of what the fleet can do
-     * now, and {@code increase} of that part more at a time while what it admits waits no longer than {@code
-     * holdTargetUs}; else it admits {@code decrease} times as much. Each kind of work keeps {@code reserveShare} of
-     * what is admitted. {@code canariesPerS} requests a second go through though nothing answers.
+     * The door while no calm holds. A request may meet a wait of {@code holdShare} of the time in which its class is
+     * wanted, and less where it can earn less. The fleet is taken to do at least {@code startShare} of this gateway's
+     * equal part of what the rules say of it. Each kind of work enters at {@code reserveShare} of the rate in any case.
      */
-    public record Recovery(double startShare, long holdTargetUs, double increase, double decrease,
-            double reserveShare, double canariesPerS) { }
+    public record Recovery(double startShare, double holdShare, double reserveShare) { }
 
     /** While no calm holds, new connections are taken up to {@code overUsual} times the usual rate, or this many. */
     public record Connections(double leastPerS, double overUsual) { }
@@ -41,7 +39,7 @@
     public static final StormSettings OFF = new StormSettings(false,
             new Detection(0.3, 0.3, 0.1, 500_000, 5_000_000, 5_000_000, 16_384),
             new Calendar(50_000, 100_000, 0, 0.3),
-            new Recovery(0.7, 250_000, 0.05, 0.8, 0.04, 3),
+            new Recovery(0.8, 0.7, 0.03),
             new Connections(50, 3),
             new Loads(false, 600_000_000, 4096, 2_000_000));
 
--- /dev/null
+++ b/lab/src/main/java/sandpaddle/lab/Clients.java
@@ -0,0 +1,285 @@
+package sandpaddle.lab;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import sandpaddle.net.Loop;
+import sandpaddle.net.Timers;
+
+/**
+ * Open-loop clients before a plain front, after the operators' brief: each asks once and, where it is not served, tries
+ * again up to twice, at once or after a fixed wait, with a new trace and often on a new connection; some honour
+ * {@code pause=MS}. What must not run twice is tried again only where it was refused or no gateway was reached.
+ */
+final class Clients {
+    /** What the seed draws of them. {@code honours}: share that waits as told. */
+    record Habits(int retries, Duration backoff, double honours, double reconnects) {
+        static Habits draw(SplittableRandom random) {
+            return new Habits(1 + random.nextInt(2), random.nextBoolean() ? Duration.ZERO
+                    : Duration.ofMillis(100 + random.nextInt(500)), 0.34 + 0.62 * random.nextDouble(), 0.5);
+        }
+    }
+
+    private static final Pattern PAUSE = Pattern.compile("pause=(\\d+)");
+    private static final Duration IDLE = Duration.ofSeconds(4);
+    private static final Duration SLACK = Duration.ofMillis(250); // the way there and back, and this process
+    private static final List<Integer> REFUSALS = List.of(1040, 1203, 1226);
+    private static final int MOST_SESSIONS = Site.SOCKETS / 3;
+
+    private static final class Gateway {
+        private final String name;
+        private final InetSocketAddress address;
+        private final int hall;
+        private final ArrayDeque<Idle> idle = new ArrayDeque<>();
+        private int open;
+        private Instant shunnedUntil = Instant.EPOCH;
+
+        Gateway(String name, InetSocketAddress address, int hall) {
+            this.name = name;
+            this.hall = hall;
+            this.address = address;
+        }
+    }
+
+    private record Idle(ClientSession session, Instant since) { }
+
+    private final Loop loop;
+    private final Events events;
+    private final SplittableRandom random;
+    private final Habits habits;
+    private final List<Gateway> gateways = new ArrayList<>();
+    private final Tally tally;
+    private long serial;
+    private int open;
+
+    Clients(Loop loop, Events events, Tally tally, SplittableRandom random, Habits habits) {
+        this.loop = loop;
+        this.events = events;
+        this.tally = tally;
+        this.random = random;
+        this.habits = habits;
+        sweep();
+    }
+
+    void gateway(String name, InetSocketAddress address) {
+        gateways.add(new Gateway(name, address, gateways.size() % Site.HALLS.size()));
+    }
+
+    private void sweep() {
+        Instant before = loop.now().minus(IDLE);
+        for (Gateway g : gateways) {
+            while (!g.idle.isEmpty() && (g.idle.peek().session.isClosed() || g.idle.peek().since.isBefore(before))) {
+                g.idle.poll().session.close();
+                g.open--;
+            }
+        }
+        loop.after(Duration.ofMillis(250), this::sweep);
+    }
+
+    /** Requests that are not over. */
+    int open() {
+        return open;
+    }
+
+    private long us() {
+        return ChronoUnit.MICROS.between(Instant.EPOCH, loop.now());
+    }
+
+    /** A new request of a class that costs so much. */
+    void request(Site.Kind kind, long work, boolean counts) {
+        new Request(kind, work, counts).ask();
+    }
+
+    /** The front spreads a hall's clients over the hall's gateways; where none of them is well, over all. */
+    private Gateway choose(int hall) {
+        List<Gateway> well = gateways.stream().filter(g -> g.shunnedUntil.isBefore(loop.now())).toList();
+        List<Gateway> near = well.stream().filter(g -> g.hall == hall).toList();
+        List<Gateway> from = !near.isEmpty() ? near : well.isEmpty() ? gateways : well;
+        return from.get(random.nextInt(from.size()));
+    }
+
+    /** A client's wish, through all its tries. */
+    private final class Request {
+        private final Site.Kind kind;
+        private final String id = "r" + ++serial;
+        private final long work, estimate, firstAt = us();
+        private final boolean counts;
+        private final int hall = random.nextInt(Site.HALLS.size());
+        private final boolean honours = random.nextDouble() < habits.honours;
+        private int triesLeft = habits.retries;
+
+        Request(Site.Kind kind, long work, boolean counts) {
+            this.kind = kind;
+            this.work = work;
+            this.counts = counts;
+            estimate = (long) (work * (0.8 + 0.4 * random.nextDouble()));
+            open++;
+            tally.asked(id, kind, firstAt, counts);
+        }
+
+        void ask() {
+            long left = firstAt + kind.limitUs() - us();
+            long patience = (long) Math.min(left, kind.limitUs() * (0.8 + 0.2 * random.nextDouble()));
+            if (patience < 50_000) {
+                over();
+                return;
+            }
+            new Try(this, patience).begin();
+        }
+
+        void again(String text) {
+            if (triesLeft-- <= 0) {
+                over();
+                return;
+            }
+            Matcher m = PAUSE.matcher(text);
+            boolean advised = m.find() && honours;
+            Duration wait = advised ? Duration.ofMillis(Long.parseLong(m.group(1))) : habits.backoff;
+            loop.after(wait, this::ask);
+        }
+
+        void over() {
+            open--;
+            events.add(us(), "client", "over", "request", id, "class", kind.name());
+        }
+    }
+
+    /** One try: a trace of its own, on an idle session or a new one. */
+    private final class Try implements ClientSession.Asker {
+        private final Request of;
+        private final String trace = String.format(Locale.ROOT, "%016x", random.nextLong());
+        private final Duration patience;
+        private Gateway gateway;
+        private ClientSession session;
+        private Timers.Timer impatience;
+        private boolean answered;
+
+        Try(Request of, long patienceUs) {
+            this.of = of;
+            patience = Duration.of(patienceUs, ChronoUnit.MICROS);
+        }
+
+        void begin() {
+            gateway = choose(of.hall);
+            session = idle();
+            events.add(us(), "client", "ask", "request", of.id, "attempt", trace, "class", of.kind.name(), "gateway",
+                    gateway.name, "counts", of.counts ? 1 : 0, "aim", Site.aim(of.kind, of.work), "worth",
+                    of.kind.worth(), "late", of.kind.lateWorth(), "patience", patience.toMillis());
+            tally.tries++;
+            try {
+                if (session == null && gateway.open < MOST_SESSIONS) {
+                    session = new ClientSession(loop, gateway.address);
+                    gateway.open++;
+                }
+            } catch (IOException e) {
+                session = null;
+            }
+            if (session == null) {
+                cut(false);
+                return;
+            }
+            impatience = loop.after(patience.plus(SLACK), this::giveUp);
+            session.ask(String.format(Locale.ROOT, "/* route=%s,trace=%s,patience=%d,weight=%.1f,est_mb=%.0f */ "
+                    + "SELECT day, count(*), max(note) FROM sales_%d.orders WHERE tag = 'request=%s work=%d'",
+                    of.kind.name(), trace, patience.toMillis(), of.estimate / 1000.0, of.kind.estimateMb(),
+                    Math.floorMod(of.id.hashCode(), 40), of.id, of.work), this);
+        }
+
+        private ClientSession idle() {
+            while (!gateway.idle.isEmpty()) {
+                ClientSession s = gateway.idle.pollLast().session;
+                if (!s.isClosed()) {
+                    return s;
+                }
+                gateway.open--;
+            }
+            return null;
+        }
+
+        private void outcome(String outcome) {
+            answered = true;
+            if (impatience != null) {
+                impatience.cancel();
+            }
+            events.add(us(), "client", "answer", "request", of.id, "attempt", trace, "class", of.kind.name(),
+                    "gateway", gateway.name, "outcome", outcome);
+            tally.answer(outcome);
+        }
+
+        private void release(boolean keep) {
+            if (keep && !session.isClosed()) {
+                gateway.idle.add(new Idle(session, loop.now()));
+            } else {
+                session.close();
+                gateway.open--;
+            }
+        }
+
+        @Override
+        public void served(int rows) {
+            outcome("served");
+            tally.served(of.id, us() - of.firstAt, Site.aim(of.kind, of.work), of.kind);
+            release(true);
+            of.over();
+        }
+
+        @Override
+        public void error(int code, String text) {
+            boolean refused = REFUSALS.contains(code);
+            outcome(refused ? "refused" : "failed");
+            release(random.nextDouble() >= habits.reconnects);
+            if (refused || of.kind.safe()) {
+                of.again(text);
+            } else {
+                of.over();
+            }
+        }
+
+        /** The gateway was not reached, or died with the try. */
+        @Override
+        public void cut(boolean up) {
+            if (answered) {
+                return;
+            }
+            outcome(up ? "cut" : "unreachable");
+            if (session != null) {
+                gateway.open--;
+            }
+            gateway.shunnedUntil = loop.now().plusMillis(800 + random.nextInt(3200));
+            if (!up || of.kind.safe()) {
+                of.again("");
+            } else {
+                of.over();
+            }
+        }
+
+        @Override
+        public void extra() {
+            events.add(us(), "client", "answer", "request", of.id, "attempt", trace, "outcome", "second");
+            tally.second++;
+        }
+
+        /** Nothing came in time, though the gateway owed it. */
+        private void giveUp() {
+            if (!answered) {
+                outcome("lost");
+                session.close();
+                gateway.open--;
+                if (of.kind.safe()) {
+                    of.again("");
+                } else {
+                    of.over();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sandpaddle/lab/GatewayProcess.java
@@ -0,0 +1,109 @@
+package sandpaddle.lab;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A real gateway in a process of its own, from the built jar, with the flags that service uses. */
+final class GatewayProcess {
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms48m",
+            "-Xmx88m", "-Xss512k", "-XX:MaxDirectMemorySize=8m", "-XX:+ExitOnOutOfMemoryError");
+    private static final long START_MS = 15_000;
+
+    private final Process process;
+    private final InetSocketAddress address;
+
+    private GatewayProcess(Process process, InetSocketAddress address) {
+        this.process = process;
+        this.address = address;
+    }
+
+    /** A port that was free a moment ago. */
+    static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(Loopback.HOST))) {
+            return s.getLocalPort();
+        }
+    }
+
+    /** Starts a gateway; its log goes to {@code NAME.log} in the folder. {@code operator} may be null. */
+    static GatewayProcess start(Path jar, Path folder, String name, int port, String config, Path operator,
+            boolean inherit) throws IOException {
+        Path file = folder.resolve(name + ".json");
+        Files.writeString(file, config);
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(FLAGS);
+        command.addAll(List.of("-jar", jar.toString(), "serve"));
+        if (operator != null) {
+            command.addAll(List.of("--operator", operator.toString()));
+        }
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        File log = folder.resolve(name + ".log").toFile();
+        builder.redirectOutput(inherit ? ProcessBuilder.Redirect.INHERIT : ProcessBuilder.Redirect.appendTo(log));
+        return new GatewayProcess(builder.start(), Loopback.at(port));
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Waits until it takes connections. */
+    void awaitUp() throws IOException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MS);
+        while (true) {
+            try (Socket s = new Socket()) {
+                s.connect(address, 500);
+                return;
+            } catch (IOException e) {
+                if (!process.isAlive() || System.nanoTime() > until) {
+                    throw new IOException("the gateway did not start; its log tells why", e);
+                }
+                sleep();
+            }
+        }
+    }
+
+    private static void sleep() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(20);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** CPU that it has used so far (ms). */
+    long cpuMs() {
+        return process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+    }
+
+    /** As if its machine lost power. */
+    void kill() {
+        process.destroyForcibly();
+    }
+
+    /** A planned end. */
+    void end() {
+        process.destroy();
+        try {
+            if (!process.waitFor(8, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sandpaddle/lab/Main.java
@@ -0,0 +1,31 @@
+package sandpaddle.lab;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The lab's command line. */
+@Command(name = "lab", mixinStandardHelpOptions = true,
+        description = "Stand-in engines, feed and clients around real gateways; experiments, and their audit. All "
+                + "traffic stays on loopback.",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:done; no rule was broken", "1:failed while running", "2:the command line cannot be used",
+            "3:a rule was broken"},
+        footerHeading = "%nExamples:%n",
+        footer = {"  java -jar lab/target/lab.jar storm --short --json storm.json --events storm.jsonl",
+            "  java -jar lab/target/lab.jar audit storm.jsonl"},
+        subcommands = {StormCommand.class, CommandLine.HelpCommand.class})
+public final class Main implements Callable<Integer> {
+    /** A run in which a rule was broken. */
+    static final int BROKEN = 3;
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true).execute(args));
+    }
+
+    @Override
+    public Integer call() {
+        CommandLine.usage(this, System.out);
+        return 2;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sandpaddle/lab/StormCommand.java
@@ -0,0 +1,97 @@
+package sandpaddle.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.ITypeConverter;
+import picocli.CommandLine.Option;
+
+/** {@code storm}: one run of {@link StormExperiment}. */
+@Command(name = "storm", mixinStandardHelpOptions = true,
+        description = "Kills all stand-in engines, restarts them cold, and counts what clients got from real gateways.",
+        footerHeading = "%nExamples:%n",
+        footer = {"  storm --short --damping off",
+            "  storm --seed 3 --script second --json out.json --events out.jsonl"})
+final class StormCommand implements Callable<Integer> {
+    enum Damping { ON, OFF }
+
+    static final class Seconds implements ITypeConverter<Duration> {
+        @Override
+        public Duration convert(String value) {
+            return Duration.ofMillis((long) (1000 * Double.parseDouble(value.replaceFirst("s$", ""))));
+        }
+    }
+
+    @Option(names = "--seed", defaultValue = "1", description = "Draws arrivals, work and habits (${DEFAULT-VALUE}).")
+    private long seed;
+
+    @Option(names = "--outage", converter = Seconds.class, paramLabel = "30s",
+            description = "How long engines are gone.")
+    private Duration outage;
+
+    @Option(names = "--short", description = "Scaled down: under 45 s in all.")
+    private boolean brief;
+
+    @Option(names = "--damping", defaultValue = "on",
+            description = "The gateways' storm subsystem: ${COMPLETION-CANDIDATES}.")
+    private Damping damping;
+
+    @Option(names = "--script", defaultValue = "outage", description = "${COMPLETION-CANDIDATES} (${DEFAULT-VALUE}).")
+    private StormExperiment.Script script;
+
+    @Option(names = "--load", defaultValue = "0.75", description = "Of what the engines can do (${DEFAULT-VALUE}).")
+    private double load;
+
+    @Option(names = "--operator", paramLabel = "FILE",
+            description = "The gateways' operator's file, in place of the lab's.")
+    private Path operator;
+
+    @Option(names = "--json", paramLabel = "FILE", description = "Where the figures go.")
+    private Path json;
+
+    @Option(names = "--events", paramLabel = "FILE", description = "Where every party's events go, a line each.")
+    private Path eventsFile;
+
+    @Option(names = "--gateway", paramLabel = "JAR", defaultValue = "gateway/target/sandpaddle.jar",
+            description = "The gateway's jar (${DEFAULT-VALUE}).")
+    private Path jar;
+
+    @Option(names = "--logs", paramLabel = "DIR", description = "Where the gateways' logs stay; else they are removed.")
+    private Path logs;
+
+    @Override
+    public Integer call() throws IOException {
+        Path folder = logs == null ? Files.createTempDirectory("sandpaddle-lab") : Files.createDirectories(logs);
+        Path file = operator;
+        if (damping == Damping.OFF) {
+            file = null;
+        } else if (file == null) {
+            file = Files.writeString(folder.resolve("operator.json"), "{\"storm\": {\"enabled\": true}}\n");
+        }
+        StormResult result;
+        try (Events events = new Events(eventsFile)) {
+            result = new StormExperiment(new StormExperiment.Plan(seed, script, StormExperiment.Times.of(brief, outage),
+                    file, load, 8, 3, jar, folder), events).run();
+        }
+        System.out.println(result.summary());
+        if (json != null) {
+            result.write(json);
+        }
+        if (logs == null) {
+            remove(folder);
+        }
+        return result.brokenRules() == 0 ? 0 : Main.BROKEN;
+    }
+
+    private static void remove(Path folder) throws IOException {
+        try (var files = Files.list(folder)) {
+            for (Path f : files.toList()) {
+                Files.delete(f);
+            }
+        }
+        Files.delete(folder);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sandpaddle/lab/StormResult.java
@@ -0,0 +1,122 @@
+package sandpaddle.lab;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Map;
+
+/** The figures of one run, as the clients and engines counted them. Times are Unix microseconds. */
+final class StormResult {
+    private static final long WINDOW_S = 5;
+    static final double BACK = 0.9; // of the worth asked for, earned in time over the window
+
+    private final StormExperiment.Plan plan;
+    private final Tally tally;
+    private final long countFrom, outageAt, returnAt, countUntil;
+    private final double cpuMsPerTry;
+
+    StormResult(StormExperiment.Plan plan, Tally tally, long countFrom, long outageAt, long returnAt, long countUntil,
+            double cpuMsPerTry) {
+        this.plan = plan;
+        this.tally = tally;
+        this.countFrom = countFrom;
+        this.outageAt = outageAt;
+        this.returnAt = returnAt;
+        this.countUntil = countUntil;
+        this.cpuMsPerTry = cpuMsPerTry;
+    }
+
+    /** Seconds from the engines' return until a window's requests earned 0.9 of their worth; -1: never. */
+    double recoverySeconds() {
+        long from = returnAt / 1_000_000 + 1;
+        for (long end = from + WINDOW_S; returnAt > 0 && end <= countUntil / 1_000_000; end++) {
+            if (share(end - WINDOW_S, end) >= BACK) {
+                return end - returnAt / 1e6;
+            }
+        }
+        return -1;
+    }
+
+    /** Part of the worth asked for in some seconds that was earned. */
+    double share(long fromSecond, long untilSecond) {
+        double asked = 0;
+        double earned = 0;
+        for (Tally.Second s : tally.seconds.subMap(fromSecond, untilSecond).values()) {
+            asked += s.asked;
+            earned += s.earned;
+        }
+        return asked == 0 ? 0 : earned / asked;
+    }
+
+    private double worthBefore() {
+        return share(countFrom / 1_000_000, (outageAt > 0 ? outageAt : countUntil) / 1_000_000);
+    }
+
+    private double worthAfterReturn() {
+        long from = (returnAt > 0 ? returnAt : countFrom) / 1_000_000;
+        return share(from, countUntil / 1_000_000);
+    }
+
+    /** Second answers, lost requests, loads run twice, cold falls and sends to draining engines, together. */
+    long brokenRules() {
+        return tally.second + tally.count("lost") + tally.loadsRunTwice() + tally.coldFalls + tally.drainBreaks;
+    }
+
+    void write(Path file) throws IOException {
+        try (JsonGenerator j = new JsonFactory().createGenerator(file.toFile(),
+                com.fasterxml.jackson.core.JsonEncoding.UTF8)) {
+            j.setPrettyPrinter(new DefaultPrettyPrinter());
+            j.writeStartObject();
+            j.writeNumberField("seed", plan.seed());
+            j.writeStringField("script", plan.script().name().toLowerCase(Locale.ROOT));
+            j.writeBooleanField("damping", plan.operator() != null);
+            j.writeNumberField("outageSeconds", plan.times().outage().toMillis() / 1000.0);
+            j.writeNumberField("load", plan.load());
+            j.writeNumberField("requests", tally.requests());
+            j.writeNumberField("tries", tally.tries);
+            j.writeObjectFieldStart("answers");
+            for (Map.Entry<String, Long> e : tally.answers.entrySet()) {
+                j.writeNumberField(e.getKey(), e.getValue());
+            }
+            j.writeEndObject();
+            j.writeNumberField("secondAnswers", tally.second);
+            j.writeNumberField("lost", tally.count("lost"));
+            j.writeNumberField("loadsRunTwice", tally.loadsRunTwice());
+            j.writeNumberField("coldFalls", tally.coldFalls);
+            j.writeNumberField("drainBreaks", tally.drainBreaks);
+            j.writeNumberField("recoverySeconds", recoverySeconds());
+            j.writeNumberField("worthAfterReturn", worthAfterReturn());
+            j.writeNumberField("worthBefore", worthBefore());
+            j.writeNumberField("latencyP50Ms", tally.latency.getValueAtPercentile(50) / 1000.0);
+            j.writeNumberField("latencyP99Ms", tally.latency.getValueAtPercentile(99) / 1000.0);
+            j.writeNumberField("gatewayCpuMsPerTry", cpuMsPerTry);
+            j.writeArrayFieldStart("worthInTime");
+            long zero = (returnAt > 0 ? returnAt : countFrom) / 1_000_000;
+            for (Map.Entry<Long, Tally.Second> e : tally.seconds.entrySet()) {
+                j.writeStartArray();
+                j.writeNumber(e.getKey() - zero);
+                j.writeNumber(Math.round(e.getValue().asked * 1000) / 1000.0);
+                j.writeNumber(Math.round(e.getValue().earned * 1000) / 1000.0);
+                j.writeEndArray();
+            }
+            j.writeEndArray();
+            j.writeEndObject();
+        }
+    }
+
+    /** For people. */
+    String summary() {
+        return String.format(Locale.ROOT, """
+                requests %d, tries %d, answers %s
+                second answers %d, lost %d, loads run twice %d, cold falls %d, drain breaks %d
+                service back after %.1f s; worth in time before %.3f, after the return %.3f; p50 %.0f ms, p99 %.0f ms
+                gateways' CPU on a try %.2f ms""", tally.requests(), tally.tries, tally.answers, tally.second,
+                tally.count("lost"), tally.loadsRunTwice(), tally.coldFalls, tally.drainBreaks, recoverySeconds(),
+                worthBefore(), worthAfterReturn(),
+                tally.latency.getValueAtPercentile(50) / 1000.0, tally.latency.getValueAtPercentile(99) / 1000.0,
+                cpuMsPerTry);
+    }
+}
