--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run try
 
 build:
 	mvn -B -q -DskipTests package
@@ -10,4 +10,7 @@
 	mvn -B -q compile checkstyle:check
 
 run: build
-	BALANCER_CONFIG=examples/config.json java -jar gateway/target/sandpaddle.jar serve
+	BALANCER_CONFIG=examples/config.json java -jar gateway/target/sandpaddle.jar serve --operator deploy/sandpaddle.json
+
+try: build
+	java -jar lab/target/lab.jar try
--- a/gateway/src/main/java/sandpaddle/config/SchemaCheck.java
+++ b/gateway/src/main/java/sandpaddle/config/SchemaCheck.java
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Whether a text is as the schema says, whatever the reader makes of it. */
+    boolean accepts(String text) {
+        return validator.validate(schema, new Nodes().create(text)).isValid();
+    }
+
     /**
      * Checks a text against the schema, and then as {@code serve} reads it. Where both find fault with one place the
      * reader's words stand, since they tell what is allowed.
@@ -127,7 +132,7 @@
 
         @Override
         public String asString() {
-            return (String) tree.value();
+            return String.valueOf(tree.value());
         }
 
         @Override
--- a/gateway/src/main/java/sandpaddle/storm/ReturnTable.java
+++ b/gateway/src/main/java/sandpaddle/storm/ReturnTable.java
@@ -30,7 +30,10 @@
 
     /** {@code entries} is rounded up to a power of two; {@code memoryUs}: how long past its return one is known. */
     ReturnTable(int entries, long memoryUs) {
-        int sets = Integer.highestOneBit(Math.max(1, (entries - 1) / WAYS)) * 2;
+        int sets = 1;
+        while (sets * WAYS < entries) {
+            sets *= 2;
+        }
         mask = sets - 1;
         this.memoryUs = memoryUs;
         print = new long[sets * WAYS];
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/config/OperatorFileTest.java
@@ -0,0 +1,93 @@
+package sandpaddle.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sandpaddle.storm.StormSettings;
+
+class OperatorFileTest {
+    private static List<String> faults(String text) {
+        Faults faults = new Faults("f.json");
+        assertThrows(OperatorFile.FaultyException.class,
+                () -> OperatorFile.read(text.getBytes(StandardCharsets.UTF_8), faults));
+        return faults.lines();
+    }
+
+    private static OperatorFile read(String text) throws OperatorFile.FaultyException {
+        return OperatorFile.read(text.getBytes(StandardCharsets.UTF_8), new Faults("f.json"));
+    }
+
+    @Test
+    void theShippedFileIsGoodForBothReaders() throws Exception {
+        Path file = Path.of("deploy/sandpaddle.json");
+        OperatorFile.load(file);
+        assertEquals(List.of(), new SchemaCheck().check("f", Files.readAllBytes(file)).lines());
+    }
+
+    @Test
+    void anEmptyFileSwitchesNothingOn() throws Exception {
+        assertEquals(OperatorFile.NONE, read("{}"));
+        assertFalse(OperatorFile.NONE.storm().enabled());
+        assertEquals(StormSettings.OFF.with(true), read("{\"storm\":{\"enabled\":true}}").storm());
+    }
+
+    @Test
+    void valuesAreTakenOver() throws Exception {
+        StormSettings s = read("""
+                {"storm": {"detection": {"enter_ms": 750, "return_share": 0.5}, "loads": {"entries": 17}}}""").storm();
+        assertEquals(750_000, s.detection().enterUs());
+        assertEquals(0.5, s.detection().returnShare());
+        assertEquals(17, s.loads().entries());
+    }
+
+    /** Each fault names its place, its key, what was found and what is allowed; all are told at once, in order. */
+    @Test
+    void everyFaultIsToldAtOnce() {
+        assertEquals(List.of(
+                "f.json:1:20: log.format: found \"xml\"; allowed: one of \"human\", \"json\"",
+                "f.json:2:34: storm.detection.enter_ms: found 5; allowed: a whole number from 100 to 60000",
+                "f.json:2:52: storm.detection.retrun_share: found an unknown key; "
+                        + "allowed: 'return_share', if that was meant",
+                "f.json:3:12: storm.calendar: found 7; allowed: an object",
+                "f.json:3:29: storm.enabled: found \"yes\"; allowed: true or false"), faults("""
+                {"log": {"format": "xml"},
+                "storm":{"detection":{"enter_ms":5,"retrun_share": 0.3},
+                "calendar":7, "enabled":    "yes"}}"""));
+    }
+
+    /** Values that are right by themselves and wrong together. */
+    @Test
+    void sharesThatContradictEachOtherAreRefused() {
+        assertEquals(List.of("f.json:1:40: storm.detection.calm_share: found 0.4; allowed: less than 'return_share' "
+                + "and 'bad_share', or a storm would end as it begins"),
+                faults("{\"storm\": {\"detection\": {\"calm_share\": 0.4}}}"));
+        assertEquals(List.of("f.json:1:38: storm.calendar.most_ms: found 120; allowed: 0 for the platform's most, or "
+                + "at least 'least_ms' and 'slot_ms' together"),
+                faults("{\"storm\": {\"calendar\": {\"most_ms\":   120}}}"));
+    }
+
+    @Test
+    void whatIsNoJsonIsNamedWithItsPlace() {
+        assertTrue(faults("{\"log\": {\"format\": ").get(0).startsWith("f.json:1:"));
+        assertEquals(List.of("f.json:1:1: found no object; allowed: one JSON object"), faults("[1]"));
+        assertEquals(List.of("f.json:1:4: found more after the object; allowed: one JSON object"), faults("{} {}"));
+        assertEquals(List.of("f.json:1:20: log: found a second time; allowed: each key once"),
+                faults("{\"log\": {        }, \"log\": {}}".replace("        ", "       ")));
+        assertEquals(List.of("f.json:1:9: log: found null; allowed: a value, or no such key"),
+                faults("{\"log\": null}"));
+    }
+
+    /** Guards memory and stack against a file that is none. */
+    @Test
+    void depthAndLengthAreBounded() {
+        assertFalse(faults("{\"a\":".repeat(100)).isEmpty());
+        assertFalse(faults("{\"a\": \"" + "x".repeat(Tree.MOST_BYTES) + "\"}").isEmpty());
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/storm/ReturnCalendarProperties.java
@@ -0,0 +1,78 @@
+package sandpaddle.storm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class ReturnCalendarProperties {
+    private static final long SLOT = 50_000;
+    private static final long LEAST = 100_000;
+    private static final long MOST = 1_000_000;
+
+    private static ReturnCalendar calendar(long seed) {
+        return new ReturnCalendar(SLOT, LEAST, MOST, new SplittableRandom(seed));
+    }
+
+    @Property(seed = "12", tries = 200)
+    void aPauseIsNeverShorterThanTheLeastNorLongerThanTheMost(@ForAll @IntRange(min = 1, max = 300) int clients,
+            @ForAll @IntRange(max = 5_000_000) int rate, @ForAll @IntRange(max = 40_000) int gap) {
+        ReturnCalendar calendar = calendar(clients);
+        long now = 1_700_000_000_000_000L;
+        for (int i = 0; i < clients; i++) {
+            if (i % 7 == 0) {
+                calendar.forecast(now, t -> rate);
+            }
+            long pause = calendar.place(now, 100_000);
+            assertTrue(pause >= LEAST && pause <= MOST, "pause " + pause);
+            now += gap;
+        }
+    }
+
+    /** While slots have room, none is filled over it, and no client waits for a later one than it must. */
+    @Property(seed = "13", tries = 100)
+    void returnsArriveAtTheRateThatCanBeTaken(@ForAll @IntRange(min = 1, max = 18) int clients) {
+        ReturnCalendar calendar = calendar(clients);
+        calendar.forecast(0, t -> 2_000_000); // room for one client of 100 ms of work in each slot
+        for (int i = 0; i < clients; i++) {
+            calendar.place(0, 100_000);
+        }
+        for (long t = 0; t < MOST; t += SLOT) {
+            boolean taken = t >= LEAST && t < LEAST + clients * SLOT;
+            assertEquals(taken ? 100_000 : 0, calendar.expected(t), "slot at " + t);
+        }
+    }
+
+    /** The most is shorter than the calendar would be: nobody comes early into nothing, and there is no one wave. */
+    @Test
+    void anOutageLongerThanTheMostSpreadsReturnsOverTheLaterHalf() {
+        ReturnCalendar calendar = calendar(5);
+        calendar.forecast(0, t -> 0);
+        long[] pauses = IntStream.range(0, 1000).mapToLong(i -> calendar.place(0, 100_000)).toArray();
+        double middle = (LEAST + MOST) / 2.0;
+        for (long p : pauses) {
+            assertTrue(p >= middle - 2 * SLOT && p <= MOST, "pause " + p);
+        }
+        double[] filled = IntStream.range(0, (int) (MOST / SLOT)).mapToDouble(i -> calendar.expected(i * SLOT))
+                .filter(x -> x > 0).toArray();
+        double mean = IntStream.range(0, filled.length).mapToDouble(i -> filled[i]).average().orElseThrow();
+        assertTrue(filled.length >= 9, "slots used: " + filled.length);
+        for (double f : filled) {
+            assertEquals(mean, f, 0.05 * mean);
+        }
+    }
+
+    @Test
+    void whatTheFleetCanTakeLaterIsPlannedForLater() {
+        ReturnCalendar calendar = calendar(6);
+        calendar.forecast(0, t -> t < 500_000 ? 0 : 2_000_000);
+        for (int i = 0; i < 8; i++) {
+            assertTrue(calendar.place(0, 100_000) >= 500_000);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/sandpaddle/lab/AskCommand.java
@@ -0,0 +1,68 @@
+package sandpaddle.lab;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ThreadLocalRandom;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import sandpaddle.net.Loop;
+
+/** {@code ask}: one query to a gateway, for machines without a MySQL client. */
+@Command(name = "ask", mixinStandardHelpOptions = true,
+        description = "Sends one query to a gateway and prints the answer.",
+        footerHeading = "%nExamples:%n",
+        footer = {"  ask \"SELECT day FROM sales_17.orders\"", "  ask --route report --patience 9000 \"SELECT 1\""})
+final class AskCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "STATEMENT", description = "The statement, without fields.")
+    private String statement;
+
+    @Option(names = "--port", defaultValue = "3307", description = "The gateway's, on 127.0.0.1 (${DEFAULT-VALUE}).")
+    private int port;
+
+    @Option(names = "--route", defaultValue = "lookup", description = "The class (${DEFAULT-VALUE}).")
+    private String route;
+
+    @Option(names = "--patience", defaultValue = "5000", description = "Milliseconds (${DEFAULT-VALUE}).")
+    private int patience;
+
+    @Option(names = "--fields", paramLabel = "k=v,k=v", description = "Further fields, such as once=nightly-17.")
+    private String fields;
+
+    @Override
+    public Integer call() throws IOException {
+        Loop loop = new Loop(Clock.systemUTC());
+        String trace = String.format(Locale.ROOT, "%016x", ThreadLocalRandom.current().nextLong());
+        ClientSession session = new ClientSession(loop, new InetSocketAddress("127.0.0.1", port));
+        int[] code = {-1};
+        session.ask("/* route=" + route + ",trace=" + trace + ",patience=" + patience
+                + (fields == null ? "" : "," + fields) + " */ " + statement, new ClientSession.Asker() {
+                    @Override
+                    public void served(int rows) {
+                        System.out.println(rows + " rows");
+                        code[0] = 0;
+                    }
+
+                    @Override
+                    public void error(int error, String text) {
+                        System.out.println("error " + error + ": " + text);
+                        code[0] = 1;
+                    }
+
+                    @Override
+                    public void cut(boolean up) {
+                        System.out.println(up ? "the gateway closed the connection" : "no gateway at port " + port);
+                        code[0] = 1;
+                    }
+                });
+        while (code[0] < 0) {
+            loop.turn(() -> { }, Duration.ofMillis(100));
+        }
+        session.close();
+        return code[0];
+    }
+}
--- a/lab/src/main/java/sandpaddle/lab/Clients.java
+++ b/lab/src/main/java/sandpaddle/lab/Clients.java
@@ -213,6 +213,7 @@
             events.add(us(), "client", "answer", "request", of.id, "attempt", trace, "class", of.kind.name(),
                     "gateway", gateway.name, "outcome", outcome);
             tally.answer(outcome);
+            tally.answerAt(us(), outcome);
         }
 
         private void release(boolean keep) {
--- a/lab/src/main/java/sandpaddle/lab/GatewayProcess.java
+++ b/lab/src/main/java/sandpaddle/lab/GatewayProcess.java
@@ -58,10 +58,16 @@
 
     /** Waits until it takes connections. */
     void awaitUp() throws IOException {
+        awaitUp(Loopback.HOST);
+    }
+
+    /** The same where it listens on another loopback address. */
+    void awaitUp(String host) throws IOException {
+        InetSocketAddress there = new InetSocketAddress(host, address.getPort());
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MS);
         while (true) {
             try (Socket s = new Socket()) {
-                s.connect(address, 500);
+                s.connect(there, 500);
                 return;
             } catch (IOException e) {
                 if (!process.isAlive() || System.nanoTime() > until) {
--- a/lab/src/main/java/sandpaddle/lab/Main.java
+++ b/lab/src/main/java/sandpaddle/lab/Main.java
@@ -13,8 +13,10 @@
             "3:a rule was broken"},
         footerHeading = "%nExamples:%n",
         footer = {"  java -jar lab/target/lab.jar storm --short --json storm.json --events storm.jsonl",
-            "  java -jar lab/target/lab.jar audit storm.jsonl"},
-        subcommands = {StormCommand.class, CommandLine.HelpCommand.class})
+            "  java -jar lab/target/lab.jar audit storm.jsonl --against storm.json",
+            "  java -jar lab/target/lab.jar try"},
+        subcommands = {StormCommand.class, AuditCommand.class, TryCommand.class, AskCommand.class,
+            CommandLine.HelpCommand.class})
 public final class Main implements Callable<Integer> {
     /** A run in which a rule was broken. */
     static final int BROKEN = 3;
--- a/lab/src/main/java/sandpaddle/lab/StormCommand.java
+++ b/lab/src/main/java/sandpaddle/lab/StormCommand.java
@@ -55,6 +55,9 @@
     @Option(names = "--events", paramLabel = "FILE", description = "Where every party's events go, a line each.")
     private Path eventsFile;
 
+    @Option(names = "--charts", paramLabel = "DIR", description = "Where charts go, as PNG.")
+    private Path charts;
+
     @Option(names = "--gateway", paramLabel = "JAR", defaultValue = "gateway/target/sandpaddle.jar",
             description = "The gateway's jar (${DEFAULT-VALUE}).")
     private Path jar;
@@ -80,13 +83,16 @@
         if (json != null) {
             result.write(json);
         }
+        if (charts != null) {
+            result.charts(charts);
+        }
         if (logs == null) {
             remove(folder);
         }
         return result.brokenRules() == 0 ? 0 : Main.BROKEN;
     }
 
-    private static void remove(Path folder) throws IOException {
+    static void remove(Path folder) throws IOException {
         try (var files = Files.list(folder)) {
             for (Path f : files.toList()) {
                 Files.delete(f);
--- a/lab/src/main/java/sandpaddle/lab/StormResult.java
+++ b/lab/src/main/java/sandpaddle/lab/StormResult.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
@@ -107,6 +109,26 @@
         }
     }
 
+    /** Worth in time and answers by second, as charts. */
+    void charts(Path folder) throws IOException {
+        long zero = (returnAt > 0 ? returnAt : countFrom) / 1_000_000;
+        double[][] worth = tally.seconds.entrySet().stream()
+                .map(e -> new double[] {e.getKey() - zero, e.getValue().earned / Math.max(1e-9, e.getValue().asked)})
+                .toArray(double[][]::new);
+        String title = plan.script().name().toLowerCase(Locale.ROOT) + ", seed " + plan.seed()
+                + (plan.operator() == null ? ", not damped" : ", damped");
+        Charts.lines(folder.resolve("worth.png"), title, "seconds from the engines' return",
+                "part of the worth asked for, in time", List.of(new Charts.Line("worth in time", worth)));
+        List<Charts.Line> lines = new ArrayList<>();
+        for (String outcome : tally.answers.keySet()) {
+            lines.add(new Charts.Line(outcome, tally.answersBySecond.entrySet().stream()
+                    .map(e -> new double[] {e.getKey() - zero, e.getValue().getOrDefault(outcome, 0L)})
+                    .toArray(double[][]::new)));
+        }
+        Charts.lines(folder.resolve("answers.png"), title, "seconds from the engines' return", "answers a second",
+                lines);
+    }
+
     /** For people. */
     String summary() {
         return String.format(Locale.ROOT, """
--- a/lab/src/main/java/sandpaddle/lab/Tally.java
+++ b/lab/src/main/java/sandpaddle/lab/Tally.java
@@ -18,6 +18,7 @@
 
     private final Map<String, Asked> requests = new HashMap<>();
     final Map<String, Long> answers = new TreeMap<>();
+    final TreeMap<Long, Map<String, Long>> answersBySecond = new TreeMap<>();
     final TreeMap<Long, Second> seconds = new TreeMap<>();
     final Histogram latency = new Histogram(60_000_000L, 3); // us, of first answers that served
     final Map<String, Long> drained = new HashMap<>(); // engine, and when the feed first said that it drains or is gone
@@ -48,6 +49,11 @@
         answers.merge(outcome, 1L, Long::sum);
     }
 
+    /** The same by the second of the answer. */
+    void answerAt(long us, String outcome) {
+        answersBySecond.computeIfAbsent(us / 1_000_000, s -> new TreeMap<>()).merge(outcome, 1L, Long::sum);
+    }
+
     /** A request was served so long after it was first asked. */
     void served(String id, long us, long aim, Site.Kind kind) {
         Asked a = requests.get(id);
