Stories of storms and named loads on sockets; each query's steps in the log

Need: a repeat of a load whose first run goes on must join it, and what is not known must be said; seen on sockets, with SIGHUP for the operator's file. A query's way through the gateway could not be told from the log.

At level debug each step of a query is a line with its trace; entries with figures name who wrote them, keys in order.

--- a/gateway/src/main/java/sandpaddle/log/LineWriter.java
+++ b/gateway/src/main/java/sandpaddle/log/LineWriter.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.EnumSet;
 import java.util.Map;
+import java.util.TreeMap;
 import org.tinylog.core.LogEntry;
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
@@ -62,7 +63,8 @@
     private void human(StringBuilder line, LogEntry entry, Instant at, String from) {
         TIME.formatTo(at.atZone(zone), line);
         line.append(' ').append(entry.getLevel()).append(' ').append(from).append(": ").append(oneLine(message(entry)));
-        entry.getContext().forEach((k, v) -> line.append(' ').append(k).append('=').append(oneLine(plain(v))));
+        new TreeMap<>(entry.getContext()).forEach((k,
+                v) -> line.append(' ').append(k).append('=').append(oneLine(plain(v))));
         if (entry.getException() != null) {
             line.append('\n').append(trace(entry.getException()));
         }
@@ -74,7 +76,7 @@
         member(line.append(','), "level", entry.getLevel().toString().toLowerCase(java.util.Locale.ROOT));
         member(line.append(','), "from", from);
         member(line.append(','), "message", message(entry));
-        entry.getContext().forEach((k, v) -> member(line.append(','), k, v));
+        new TreeMap<>(entry.getContext()).forEach((k, v) -> member(line.append(','), k, v));
         if (entry.getException() != null) {
             member(line.append(','), "exception", trace(entry.getException()));
         }
--- a/gateway/src/main/java/sandpaddle/log/LogEvent.java
+++ b/gateway/src/main/java/sandpaddle/log/LogEvent.java
@@ -6,6 +6,8 @@
 import org.tinylog.Level;
 import org.tinylog.Logger;
 import org.tinylog.ThreadContext;
+import org.tinylog.provider.LoggingProvider;
+import org.tinylog.provider.ProviderRegistry;
 
 /**
  * A log entry with figures beside its message. {@link LineWriter} writes them after the message or as members of a
@@ -15,6 +17,8 @@
     /** Marks a figure among the context's texts, so that {@link LineWriter} writes it without quotes. */
     static final char FIGURE = '\u0001';
     private static final String TRACE = "trace";
+    private static final LoggingProvider LOG = ProviderRegistry.getLoggingProvider();
+    private static final int CALLER = 3; // frames up to who asked for the entry
 
     private final String message;
     private final Map<String, String> fields = new LinkedHashMap<>();
@@ -61,14 +65,15 @@
         write(Level.DEBUG);
     }
 
+    /** Whether entries of the least grave level are written: what builds them should ask first. */
+    public static boolean isDebugOn() {
+        return Logger.isDebugEnabled();
+    }
+
     private void write(Level level) {
         fields.forEach(ThreadContext::put);
         try {
-            switch (level) {
-                case WARN -> Logger.warn(message);
-                case DEBUG -> Logger.debug(message);
-                default -> Logger.info(message);
-            }
+            LOG.log(CALLER, null, level, null, null, message, (Object[]) null);
         } finally {
             fields.keySet().forEach(ThreadContext::remove);
         }
--- a/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -143,9 +143,10 @@
             return () -> { };
         }
         String id = query.trace() + "-" + serial++;
-        Exchange x = new Exchange(id, query, cls, loop.now().plus(query.patience()), answer);
+        Exchange x = new Exchange(id, query, cls, loop.now(), answer);
         x.arrival = door.arrived(query, cls);
         exchanges.put(x.id, x);
+        QueryLog.taken(x);
         x.overdue = loop.at(x.expiresAt.plus(OVERDUE), () -> overdue(x));
         tell(new Gateway.Request(x.id, cls, null, Micros.of(query.patience()), Micros.of(query.work()),
                 query.memoryMb(), query.tableGroup(), x.arrival != null && x.arrival.isReturn(),
@@ -156,6 +157,7 @@
     private void leave(Exchange x) {
         if (!x.isOver()) {
             door.left(x);
+            QueryLog.left(x);
             x.close();
             left.add(x);
             tell(new Gateway.ClientLeft(x.id));
@@ -163,7 +165,7 @@
     }
 
     private void overdue(Exchange x) {
-        Logger.warn("no decision on {} in time", x.id);
+        QueryLog.overdue(x);
         finish(x, given(x, Duration.ZERO));
         left.add(x);
         tell(new Gateway.ClientLeft(x.id));
@@ -172,7 +174,9 @@
     /** Every final answer goes through here. */
     private void finish(Exchange x, Answer answer) {
         if (!x.isOver()) {
-            x.answer(door.ended(x, answer));
+            Answer told = door.ended(x, answer);
+            QueryLog.answered(x, told, loop.now());
+            x.answer(told);
         }
     }
 
@@ -294,6 +298,7 @@
         AttemptOrder order = new AttemptOrder(x.query.trace(), x.query.route(), x.query.statement(), x.memoryMb,
                 x.priority, last ? x.expiresAt : until, last);
         door.sent(x);
+        QueryLog.sent(x, number, a.engine());
         boolean[] ended = new boolean[1];
         EngineSide.Running begun = engines.start(a.engine(), order, new EngineSide.Listener() {
             @Override
@@ -315,6 +320,7 @@
     }
 
     private void ended(Exchange x, int number, String engine, AttemptEnd end, Duration elapsed) {
+        QueryLog.ended(x, number, engine, end, elapsed);
         if (end instanceof AttemptEnd.Done d) {
             finish(x, new Answer.Served(d.rows()));
         }
--- a/gateway/src/main/java/sandpaddle/serve/Exchange.java
+++ b/gateway/src/main/java/sandpaddle/serve/Exchange.java
@@ -16,7 +16,7 @@
     final String id;
     final Query query;
     final int cls;
-    final Instant expiresAt;
+    final Instant takenAt, expiresAt;
     int attempts; // begun so far
     int priority = 1;
     double memoryMb;
@@ -26,11 +26,12 @@
     Timers.Timer overdue;
     private Consumer<Answer> client;
 
-    Exchange(String id, Query query, int cls, Instant expiresAt, Consumer<Answer> client) {
+    Exchange(String id, Query query, int cls, Instant takenAt, Consumer<Answer> client) {
         this.id = id;
         this.query = query;
         this.cls = cls;
-        this.expiresAt = expiresAt;
+        this.takenAt = takenAt;
+        expiresAt = takenAt.plus(query.patience());
         this.client = client;
     }
 
--- /dev/null
+++ b/gateway/src/main/java/sandpaddle/serve/QueryLog.java
@@ -0,0 +1,66 @@
+package sandpaddle.serve;
+
+import java.time.Duration;
+import java.time.Instant;
+import sandpaddle.log.LogEvent;
+import sandpaddle.query.Answer;
+import sandpaddle.query.AttemptEnd;
+
+/** The story of a query in the log, step by step, each line with its trace. Costs a look at a flag where it is off. */
+final class QueryLog {
+    private QueryLog() {
+    }
+
+    private static LogEvent line(Exchange x, String step) {
+        return LogEvent.of(step).trace(x.query.trace()).with("route", x.query.route());
+    }
+
+    static void taken(Exchange x) {
+        if (LogEvent.isDebugOn()) {
+            LogEvent e = line(x, "taken").with("patience_ms", x.query.patience().toMillis())
+                    .with("work_ms", x.query.work().toMillis());
+            if (x.arrival != null) {
+                e.with("returns", String.valueOf(x.arrival.isReturn()))
+                        .with("yields", String.valueOf(x.arrival.yields()));
+            }
+            e.debug();
+        }
+    }
+
+    static void sent(Exchange x, int attempt, String engine) {
+        if (LogEvent.isDebugOn()) {
+            line(x, "sent").with("attempt", attempt).with("engine", engine).with("priority", x.priority).debug();
+        }
+    }
+
+    static void ended(Exchange x, int attempt, String engine, AttemptEnd end, Duration elapsed) {
+        if (LogEvent.isDebugOn()) {
+            line(x, "attempt ended").with("attempt", attempt).with("engine", engine)
+                    .with("end", end.getClass().getSimpleName()).with("ms", elapsed.toMillis()).debug();
+        }
+    }
+
+    static void answered(Exchange x, Answer answer, Instant now) {
+        if (LogEvent.isDebugOn()) {
+            LogEvent e = line(x, "answered").with("answer", answer.getClass().getSimpleName())
+                    .with("attempts", x.attempts).with("ms", Duration.between(x.takenAt, now).toMillis());
+            if (answer instanceof Answer.Refused r) {
+                e.with("pause_ms", r.pause().toMillis());
+            } else if (answer instanceof Answer.Failed f) {
+                e.with("why", f.why());
+            }
+            e.debug();
+        }
+    }
+
+    static void left(Exchange x) {
+        if (LogEvent.isDebugOn()) {
+            line(x, "its client left").with("attempts", x.attempts).debug();
+        }
+    }
+
+    /** The guard answered in the module's place. */
+    static void overdue(Exchange x) {
+        line(x, "no decision in time").with("attempts", x.attempts).warn();
+    }
+}
--- a/gateway/src/main/java/sandpaddle/serve/SharedRuns.java
+++ b/gateway/src/main/java/sandpaddle/serve/SharedRuns.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import sandpaddle.decide.Micros;
+import sandpaddle.log.LogEvent;
 import sandpaddle.net.Scheduler;
 import sandpaddle.net.Timers;
 import sandpaddle.query.Answer;
@@ -84,7 +85,11 @@
     QueryService.Ticket submit(Query query, long fingerprint, Duration limit, Consumer<Answer> client,
             Starter starter) {
         String key = query.once();
-        switch (runs.claim(Micros.of(loop.now()), key, fingerprint, query.again())) {
+        LoadRuns.Verdict verdict = runs.claim(Micros.of(loop.now()), key, fingerprint, query.again());
+        if (LogEvent.isDebugOn()) {
+            LogEvent.of("named run").trace(query.trace()).with("once", key).with("verdict", verdict.name()).debug();
+        }
+        switch (verdict) {
             case RUN:
                 Run run = new Run(key);
                 running.put(key, run);
--- a/gateway/src/test/java/sandpaddle/story/Stage.java
+++ b/gateway/src/test/java/sandpaddle/story/Stage.java
@@ -13,8 +13,10 @@
 import java.util.stream.IntStream;
 import sandpaddle.app.Server;
 import sandpaddle.config.Config;
+import sandpaddle.config.Faults;
 import sandpaddle.config.FieldException;
 import sandpaddle.config.Json;
+import sandpaddle.config.OperatorFile;
 
 /** A gateway in a thread of its own, between the scripted peers of one test. */
 final class Stage implements AutoCloseable {
@@ -36,6 +38,7 @@
 
     final Server server;
     private volatile Server.ConfigSource source;
+    private volatile Server.OperatorSource operator;
     private final List<Client> clients = new ArrayList<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
@@ -44,10 +47,20 @@
                 .collect(Collectors.joining(","))));
     }
 
+    /** With an operator's file, and one engine. */
+    Stage(ScriptedFeed feed, OperatorFile file, ScriptedEngine engine) throws IOException, FieldException {
+        this(feed, event(1, true, host("e0", engine, "Ready")), file);
+    }
+
     /** With what is known at the start: an event, or nothing. */
     Stage(ScriptedFeed feed, String known) throws IOException, FieldException {
+        this(feed, known, OperatorFile.NONE);
+    }
+
+    private Stage(ScriptedFeed feed, String known, OperatorFile file) throws IOException, FieldException {
         source = () -> config(feed.port(), known);
-        server = new Server(() -> source.load(), Clock.systemUTC());
+        operator = () -> file;
+        server = new Server(() -> source.load(), () -> operator.load(), file, Clock.systemUTC());
         ScriptedEngine.daemon(() -> {
             try {
                 server.run();
@@ -64,6 +77,17 @@
         server.reloadConfig();
     }
 
+    /** The same with a new operator's file. */
+    void reloadOperator(Server.OperatorSource next) {
+        operator = next;
+        server.reloadConfig();
+    }
+
+    /** An operator's file as a text. */
+    static OperatorFile operator(String text) throws OperatorFile.FaultyException {
+        return OperatorFile.read(text.getBytes(StandardCharsets.UTF_8), new Faults("operator.json"));
+    }
+
     static Config config(int feedPort, String event) throws FieldException {
         String all = """
                 {"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",
