--- a/lab/src/main/java/sandpaddle/lab/Main.java
+++ b/lab/src/main/java/sandpaddle/lab/Main.java
@@ -15,7 +15,7 @@
         footer = {"  java -jar lab/target/lab.jar storm --short --json storm.json --events storm.jsonl",
             "  java -jar lab/target/lab.jar audit storm.jsonl --against storm.json",
             "  java -jar lab/target/lab.jar try"},
-        subcommands = {StormCommand.class, AuditCommand.class, TryCommand.class, AskCommand.class,
+        subcommands = {StormCommand.class, AuditCommand.class, ReportCommand.class, TryCommand.class, AskCommand.class,
             CommandLine.HelpCommand.class})
 public final class Main implements Callable<Integer> {
     /** A run in which a rule was broken. */
