--- a/gateway/src/main/java/sandpaddle/http/EngineConnection.java
+++ b/gateway/src/main/java/sandpaddle/http/EngineConnection.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import sandpaddle.codec.MalformedException;
 import sandpaddle.net.Connection;
 import sandpaddle.net.Loop;
 import sandpaddle.net.Timers;
@@ -25,7 +26,7 @@
 
     private final Loop loop;
     private final EnginePool pool;
-    private final ResponseParser parser = new ResponseParser();
+    private final ResponseReader reader = new ResponseReader();
     private Connection connection;
     private Call call;
     private Timers.Timer bound;
@@ -70,7 +71,7 @@
             return;
         }
         try {
-            Response r = parser.feed(bytes);
+            Response r = reader.feed(bytes);
             if (r != null) {
                 answered(r, bytes.hasRemaining());
             }
--- a/gateway/src/main/java/sandpaddle/http/Response.java
+++ b/gateway/src/main/java/sandpaddle/http/Response.java
@@ -1,22 +1,17 @@
 package sandpaddle.http;
 
-import java.util.Map;
-import java.util.regex.Pattern;
-
-/** A whole answer; the names of headers are in lower case. */
-record Response(int status, Map<String, String> headers, byte[] body, boolean keepAlive) {
-    private static final Pattern NUMBER = Pattern.compile("\\d{1,9}");
+import sandpaddle.codec.Headers;
 
+/** A whole answer. */
+record Response(int status, Headers headers, byte[] body, boolean keepAlive) {
+    /** By its name in lower case; null where it is absent. */
     String header(String name) {
         return headers.get(name);
     }
 
-    /** A header that is a whole number; {@code otherwise} where it is absent, -1 where it is no number. */
+    /** A header that is a whole number; {@code otherwise} where it is absent, -1 where it is none or too large. */
     int number(String name, int otherwise) {
-        String text = headers.get(name);
-        if (text == null) {
-            return otherwise;
-        }
-        return NUMBER.matcher(text).matches() ? Integer.parseInt(text) : -1;
+        long n = headers.number(name, otherwise);
+        return n > Integer.MAX_VALUE ? -1 : (int) n;
     }
 }
--- a/gateway/src/test/java/sandpaddle/http/HttpTest.java
+++ b/gateway/src/test/java/sandpaddle/http/HttpTest.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
+import sandpaddle.codec.MalformedException;
 import sandpaddle.net.Loop;
 import sandpaddle.query.AttemptEnd;
 import sandpaddle.query.AttemptOrder;
@@ -35,7 +36,7 @@
         String first = "HTTP/1.1 200 OK\r\nResult-Pages: 3\r\ncontent-length: 4\r\n\r\nab\nc";
         String chunked = "HTTP/1.1 100 -\r\n\r\nHTTP/1.1 202 \nTransfer-Encoding: chunked\n\n"
                 + "2;x\r\nde\r\n1\r\nf\r\n0\r\n\r\n";
-        ResponseParser parser = new ResponseParser();
+        ResponseReader parser = new ResponseReader();
         List<Response> read = new ArrayList<>();
         for (char c : (first + chunked + "HTTP/1.1 204 -\r\n\r\n").toCharArray()) {
             Response r = parser.feed(bytes(String.valueOf(c)));
@@ -56,8 +57,8 @@
                 "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "HTTP/1.1 200 OK\r\n: x\r\n",
                 "HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n",
                 "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
-                "HTTP/1.1 200 OK\r\nA: " + "x".repeat(ResponseParser.MOST_HEAD))) {
-            assertThrows(MalformedException.class, () -> new ResponseParser().feed(bytes(s)));
+                "HTTP/1.1 200 OK\r\nA: " + "x".repeat(ResponseReader.MOST_HEAD))) {
+            assertThrows(MalformedException.class, () -> new ResponseReader().feed(bytes(s)));
         }
     }
 
@@ -168,6 +169,6 @@
 
     @Test
     public void anInterimAnswerIsNone() throws Exception {
-        assertNull(new ResponseParser().feed(bytes("HTTP/1.1 100 Continue\r\n\r\n")));
+        assertNull(new ResponseReader().feed(bytes("HTTP/1.1 100 Continue\r\n\r\n")));
     }
 }
