Cold engines: gateways take turns with what could fell one, and start without debt

The warm ones were sent up to 23 and jammed; 13 percent were refused, 20 percent late.

Checked: a probe in the module counted, for each cold engine looked at, what kept a query from it. Of some 10,000 looks a second at one gateway most fell to fells() (a query of more than 0.75 of the fourteenth part of what fells the engine, 0.6 s of work, went to no cold engine at any gateway: all reports and loads), the rest to the first debt drawn in startOver() (up to the heaviest class's work, 3.5 s, at a gain of 0.18 s a second: ten seconds without a query, on average) and to nothing else: health, bound and room played no part. classLoad() also counted a cold engine without a report as average over its whole cores, more than any other per core that works.

Change: a turn passes from gateway to gateway with each span in which an engine may fall (its start is told to all alike). As many hold it as may send one usual query of the class each, so light queries are always in turn and heavy ones are one or two at a time over all gateways. No first debt. Unheard means average per core that works.

FleetTest: 14 modules beside each other; from its start the engine gets what it can bear, and no window fells it.

--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -61,7 +61,7 @@
     private static final double COLD_EASE = 0.7; // reported share in use below which a cold engine bears more
     private static final double COLD_GAIN = 0.15; // more of that rate at a time, every CUT_EVERY_US at most
     private static final double COLD_GAIN_MOST = 2; // multiple of that rate
-    private static final double COLD_QUERY = 0.75; // of what fells a cold engine, one query from here at most
+    private static final double COLD_BURST = 0.6; // of what fells a cold engine: one query of each in turn
     private static final double RATE_SPAN_US = 5_000_000; // us: span of the rate of work sent to warm engines
     private static final long RATE_KNOWN_US = 2_000_000; // us of sending before that rate is trusted
     private static final double GIVE_UP_AHEAD = 1.5; // present latencies before due: later ones are half lost
@@ -248,7 +248,8 @@
     /** Own threads of the class, and the report's queries times the share, per core that works now. */
     private double classLoad(Engine e, int c, double averageReported) {
         double reported = reportedLoad(e, c);
-        return (e.threads[c] + (Double.isNaN(reported) ? averageReported * e.cores : reported)) / coresNow(e);
+        return Double.isNaN(reported) ? e.threads[c] / coresNow(e) + averageReported
+                : (e.threads[c] + reported) / coresNow(e);
     }
 
     /** Reported running queries times the share; where reports lack them peers' threads, else own queries. */
@@ -741,8 +742,8 @@
         }
     }
 
-    // ---- Rule 4: cold engines get work at the rate that warm ones bear, times what they can do by now. Each
-    // gateway starts with a debt, drawn at random: many gateways must not all start at once.
+    // ---- Rule 4: cold engines get work at the rate that warm ones bear, times what they can do by now. What
+    // would fell one if all gateways sent it at once goes in turn: the engine's start is known to all alike.
 
     private double coresNow(Engine e) {
         return e.cores * e.warmth(s.rules(), now);
@@ -757,11 +758,9 @@
     }
 
     private boolean coldAllows(Held h, Engine e) {
-        if (e.warmth(s.rules(), now) == 1) {
-            return true;
-        }
-        if (fells(h, e)) {
-            return false;
+        boolean warm = e.warmth(s.rules(), now) == 1;
+        if (warm || fells(h, e)) {
+            return warm;
         }
         double most = share * s.rules().fallMultiple() / 2;
         double gain = Math.min(warmRate() * COLD_PART * e.coldGain, most) * coresNow(e);
@@ -770,10 +769,16 @@
         return e.tokensUs >= 0;
     }
 
-    /** A query so heavy that a cold engine might fall over, if each gateway sent it such a one at once. */
+    /**
+     * Whether a cold engine might fall over if all sent it such a query at once. The turn passes on with each
+     * span in which it may fall: as many gateways have it as may send one each, with the one before.
+     */
     private boolean fells(Held h, Engine e) {
-        double fells = s.rules().fallMultiple() * s.rules().fallUs() * coresNow(e);
-        return e.warmth(s.rules(), now) < 1 && workOf(h) > COLD_QUERY * share * fells;
+        long turns = (now - e.entry.startedUs()) / Math.max(1, s.rules().fallUs()) + e.id.hashCode();
+        int atOnce = Math.min(Math.floorMod(s.me() - turns, s.gateways()) + 2, s.gateways());
+        double most = s.rules().fallMultiple() * s.rules().fallUs() * coresNow(e);
+        return e.warmth(s.rules(), now) < 1
+                && Math.max(workOf(h), atOnce * known[h.request.cls()].workUs / COLD_BURST) > most;
     }
 
     private void spendCold(Held h, Engine e) {
@@ -854,7 +859,7 @@
         }
         e.report = null;
         e.coldGain = 1;
-        e.tokensUs = -random.nextDouble() * Arrays.stream(known).mapToDouble(k -> k.workUs).max().orElse(0);
+        e.tokensUs = 0;
         e.tokensAt = now;
     }
 
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/decide/FleetTest.java
@@ -0,0 +1,89 @@
+package sandpaddle.decide;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static sandpaddle.decide.Site.MS;
+import static sandpaddle.decide.Site.S;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What one gateway may do and many must not: many modules beside each other in virtual time, by turns of 10 ms. */
+class FleetTest {
+    private static final int GATEWAYS = 14;
+    private static final long TURN = 10 * MS;
+
+    private record Sent(long at, int cls) { }
+
+    /** What all gateways send to an engine that has just started, beside nine warm ones, in its first seconds. */
+    private static List<Sent> sentToColdEngine(long us) {
+        List<Site> sites = new ArrayList<>();
+        for (int me = 0; me < GATEWAYS; me++) {
+            Site.Spec spec = new Site.Spec();
+            spec.gateways = GATEWAYS;
+            spec.me = me;
+            spec.seed = me;
+            Site site = new Site(spec);
+            for (int i = 0; i < 9; i++) {
+                site.list(i == 0 ? Gateway.ListKind.CACHED : Gateway.ListKind.CHANGES, Site.engine("e" + i));
+            }
+            sites.add(site);
+        }
+        long warm = 5 * S;
+        List<Sent> sent = new ArrayList<>();
+        List<List<String>> open = new ArrayList<>();
+        sites.forEach(x -> open.add(new ArrayList<>()));
+        for (long t = 0; t < warm + us; t += TURN) {
+            for (int g = 0; g < GATEWAYS; g++) {
+                Site site = sites.get(g);
+                if (t == warm) {
+                    site.list(Gateway.ListKind.CHANGES,
+                            Site.engine("cold", 0, 0, 0, Gateway.Status.UP, site.now));
+                }
+                long turn = t / TURN;
+                if ((turn + g) % 6 == 0) { // some 16 a second; one in twelve is heavy
+                    int cls = (turn / 6 + g) % 12 == 0 ? 1 : 0;
+                    String id = site.take(cls);
+                    open.get(g).add(id);
+                }
+                site.pass(TURN);
+                for (String id : List.copyOf(open.get(g))) {
+                    if (site.attempts(id) > 0) {
+                        boolean heavy = site.classOf(id) == 1;
+                        if ("cold".equals(site.engineOf(id)) && sentNow(site, id)) {
+                            sent.add(new Sent(site.sentAt(id), heavy ? 1 : 0));
+                        }
+                        if (site.now - site.sentAt(id) >= (heavy ? 600 : 150) * MS) {
+                            open.get(g).remove(id);
+                            site.answer(id, Gateway.Result.OK, new double[] {4, 0.5});
+                        }
+                    }
+                }
+            }
+        }
+        return sent;
+    }
+
+    private static boolean sentNow(Site site, String id) {
+        return site.sentAt(id) >= site.now - TURN && site.sentAt(id) < site.now;
+    }
+
+    /** Sent to all engines alike, this engine would get a tenth of it; while cold it can do 0.3 of that and more. */
+    @Test
+    void aColdEngineIsUsedFromItsStartAndNotPushedOver() {
+        Gateway.Rules rules = new Site.Spec().settings().rules();
+        double[] work = {150 * MS, 1800 * MS}; // by answers: heavy ones take 600 ms on three threads
+        List<Sent> sent = sentToColdEngine(10 * S);
+        long start = sent.stream().mapToLong(Sent::at).min().orElse(Long.MAX_VALUE);
+        assertTrue(start < 1006 * S, "first sent at " + start);
+        for (Sent from : sent) {
+            double inSpan = sent.stream().filter(x -> x.at() >= from.at() && x.at() < from.at() + rules.fallUs())
+                    .mapToDouble(x -> work[x.cls()]).sum();
+            double able = 8 * (rules.coldFrom() + (1 - rules.coldFrom()) * (from.at() - 1005 * S) / rules.coldUs());
+            assertTrue(inSpan < rules.fallMultiple() * able * rules.fallUs(), "sent " + inSpan + " at " + from.at());
+        }
+        double all = sent.stream().mapToDouble(x -> work[x.cls()]).sum();
+        double taken = GATEWAYS * 10 * (1e6 / (6 * TURN)) * (work[0] * 11 + work[1]) / 12;
+        assertTrue(all > 0.2 * taken / 10, "sent " + all / 1e6 + " s of " + taken / 10 / 1e6);
+    }
+}
--- a/gateway/src/test/java/sandpaddle/decide/Site.java
+++ b/gateway/src/test/java/sandpaddle/decide/Site.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 
 /** A gateway under test with its settings, its clock and the rule checker; tests play the engines. */
@@ -25,6 +27,7 @@
         long budgetSpanUs;
         long keyRestUs;
         int gateways = 2;
+        int me;
         long seed = 7;
         int maxAttempts = 4;
         List<Gateway.Field> fields = List.of(Gateway.Field.INFLIGHT, Gateway.Field.UTIL);
@@ -35,7 +38,7 @@
                     1, false, false, kinds, zones);
             var heavy = new Gateway.RequestClass(2 * S, 2.5, 15 * S, 5, 0.3, effect, scope, 3 * S, ordered, false,
                     3, false, false, kinds, zones);
-            return new Gateway.Settings(gateways, 0, 0, false, List.of(quick, heavy),
+            return new Gateway.Settings(gateways, me, 0, false, List.of(quick, heavy),
                     List.of(new Gateway.Kind(8, 16384), new Gateway.Kind(16, 32768)), fields, reportsInAnswers,
                     new Gateway.Limits(cancel, probes, peers, true, false, maxAttempts, 20000, S, 250 * MS),
                     new Gateway.Rules(20 * MS, 500 * MS, 10 * S, 0.3, 13 * S, 2.5, 1500 * MS, keyRestUs, budgetSpanUs,
@@ -51,6 +54,8 @@
     final List<Gateway.Action> log = new ArrayList<>();
     private final TreeMap<Long, List<Runnable>> timers = new TreeMap<>();
     private final List<Gateway.Send> sends = new ArrayList<>();
+    private final Map<String, Long> sentAt = new HashMap<>();
+    private final Map<String, Integer> classOf = new HashMap<>();
     long now = 1000 * S;
     private int ids;
 
@@ -87,6 +92,7 @@
                 at(t.atUs(), () -> on(new Gateway.Timer(t.token())));
             } else if (a instanceof Gateway.Send send) {
                 sends.add(send);
+                sentAt.put(send.id(), now);
                 int attempt = attempts(send.id()) - 1;
                 at(now + send.timeoutUs(), () -> expire(send, attempt));
             }
@@ -116,6 +122,7 @@
 
     String take(int cls, String key, long group) {
         String id = "r" + ids++;
+        classOf.put(id, cls);
         on(new Gateway.Request(id, cls, key, settings.classes().get(cls).limitUs(), 0, 0, group, false));
         return id;
     }
@@ -125,6 +132,15 @@
         return sends.stream().filter(x -> x.id().equals(id)).reduce((a, b) -> b).map(Gateway.Send::engine).orElse(null);
     }
 
+    int classOf(String id) {
+        return classOf.get(id);
+    }
+
+    /** When its latest attempt was sent. */
+    long sentAt(String id) {
+        return sentAt.get(id);
+    }
+
     int attempts(String id) {
         return (int) sends.stream().filter(x -> x.id().equals(id)).count();
     }
