Engines out of reach: heard of at once, and no second attempt while the first may run

Replayed with a probe in SideCall and Attempt: a DELETE that found no connection within 250 ms counted as delivered (SideCall.down), so the next attempt went out 0.6 s after the first had reached its engine; Attempt.askAgain did the same for a refused connection, though an engine short of connections refuses too. The gateway knew after 850 ms that an engine was out of reach, and told the module only with the attempt's end. Ruled out: the module (one attempt out at a time, as its log shows) and the feed (the list still had the zone).

Change: the end of an attempt that is given up is told once its DELETE was answered, or has come whole on a connection that came up for it, or 2.3 s after the query was last asked for, when its engine has dropped it. Refused is proof only where the other side ended the call before. What ends before its time no longer counts as the last attempt. An engine out of reach is told to the module as a probe that found no connection. A connection just used is waited for, 50 ms at most; idle ones go at 0.85.

--- a/gateway/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -28,8 +28,8 @@
     static final Duration SILENT = Duration.ofMillis(600);
     private static final Duration HELD_LEAST = Duration.ofMillis(50);
     private static final Duration AGAIN = Duration.ofMillis(100); // between tries to reach a silent engine
-    /** An engine that could not be reached for so long has given the query up, or has died with it. */
-    private static final Duration FORGOTTEN = Duration.ofMillis(2500);
+    /** An engine drops a query 2 s after it was asked for last; it may have held that call for 250 ms. */
+    private static final Duration DROPPED = Duration.ofMillis(2300);
     private static final int MOST_BREAKS = 3; // connections broken one after the other, with no answer between
     private static final int MOST_SPOILT = 6; // answers of one query that could not be read
 
@@ -50,6 +50,8 @@
     private boolean everSent; // a byte of the POST may have left
     private boolean taken; // the engine has said that it knows the query
     private boolean asksAgain; // a call's answer got lost
+    private boolean brokeOff; // the latest call or its connection was ended by the other side
+    private boolean outOfReach; // the listener has been told
     private String stats;
     private Instant reachedAt; // when the engine was last reached
     private Instant askedAt; // when the call that is out began
@@ -101,6 +103,7 @@
             public void answered(Response r, EngineConnection same) {
                 connection = null;
                 kept = same;
+                outOfReach = false;
                 if (phase == Phase.OUT) {
                     breaks = 0;
                     heard(r, page);
@@ -125,6 +128,7 @@
      * is bound to no connection, so it is asked for on another one. Only what was never written never ran.
      */
     private void broke(EngineConnection.Failure how, String why, boolean maybeSent, int page) {
+        brokeOff = how == EngineConnection.Failure.BROKEN;
         if (!maybeSent && !everSent) {
             end(new AttemptEnd.NotConnected(why));
         } else if (how == EngineConnection.Failure.MALFORMED) {
@@ -177,10 +181,12 @@
                 if (phase != Phase.OUT) {
                     return;
                 }
-                boolean forgotten = reachedAt.plus(FORGOTTEN).isBefore(loop.now());
-                if (how == EnginePool.Down.REFUSED || how == EnginePool.Down.UNREACHABLE && forgotten) {
+                boolean died = how == EnginePool.Down.REFUSED && brokeOff; // else it may be short of connections
+                boolean dropped = how != EnginePool.Down.NO_ROOM && reachedAt.plus(DROPPED).isBefore(loop.now());
+                if (died || dropped) {
                     end(new AttemptEnd.Broken(why));
                 } else {
+                    tellOutOfReach(how);
                     loop.after(AGAIN, () -> {
                         if (phase == Phase.OUT) {
                             askAgain(page);
@@ -191,6 +197,14 @@
         });
     }
 
+    /** Long before the attempt may end: nobody else needs to try this engine meanwhile. */
+    private void tellOutOfReach(EnginePool.Down how) {
+        if (how != EnginePool.Down.NO_ROOM && !outOfReach) {
+            outOfReach = true;
+            listener.outOfReach();
+        }
+    }
+
     private void asked(EngineConnection c, int page) {
         if (phase == Phase.OUT) {
             call(c, Requests.ask(pool.host(), order.trace(), page), page);
@@ -276,7 +290,8 @@
             asked(same, page);
             return;
         }
-        if (same != null) {
+        brokeOff = same != null;
+        if (brokeOff) {
             same.abandon();
         }
         pool.acquire(new EnginePool.Waiter() {
@@ -315,8 +330,9 @@
             connection = null;
         }
         release();
-        SideCall.make(loop, engines, pool, Requests.delete(pool.host(), order.trace()), () -> end(as));
-        if (atOnce || order.isLast()) {
+        SideCall.make(loop, engines, pool, Requests.delete(pool.host(), order.trace()), askedAt.plus(DROPPED),
+                () -> end(as));
+        if (atOnce || order.isLast() && as instanceof AttemptEnd.TimedOut) {
             end(as);
         }
     }
@@ -324,7 +340,8 @@
     @Override
     public void priority(int priority) {
         if (phase == Phase.OUT) {
-            SideCall.make(loop, engines, pool, Requests.priority(pool.host(), order.trace(), priority), () -> { });
+            SideCall.make(loop, engines, pool, Requests.priority(pool.host(), order.trace(), priority),
+                    loop.now().plus(DROPPED), () -> { });
         }
     }
 
--- a/gateway/src/main/java/sandpaddle/http/EngineConnection.java
+++ b/gateway/src/main/java/sandpaddle/http/EngineConnection.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.time.Instant;
 import sandpaddle.codec.MalformedException;
 import sandpaddle.net.Connection;
 import sandpaddle.net.Loop;
@@ -31,6 +32,7 @@
     private Call call;
     private Timers.Timer bound;
     private boolean ended;
+    private Instant upAt;
 
     EngineConnection(Loop loop, EnginePool pool) {
         this.loop = loop;
@@ -39,9 +41,15 @@
 
     void attach(Connection up) {
         connection = up;
+        upAt = loop.now();
         up.owner(this);
     }
 
+    /** Whether it came up so late: a proof that its machine was there then. */
+    boolean isUpSince(Instant from) {
+        return !upAt.isBefore(from);
+    }
+
     boolean isStale() {
         return ended || connection.isStale();
     }
--- a/gateway/src/main/java/sandpaddle/http/EnginePool.java
+++ b/gateway/src/main/java/sandpaddle/http/EnginePool.java
@@ -67,15 +67,33 @@
         acquire(waiter, true);
     }
 
+    /**
+     * To wait for the quiet of one that was just used costs some ms, less than a handshake costs the engine. With many
+     * gateways it is the usual case: each has few queries on an engine, and sends the next where one has just ended.
+     */
     private void acquire(Waiter waiter, boolean reserved) {
         EngineConnection c = quietOne();
+        Idle next = c == null ? idle.pollFirst() : null; // the one that is quiet first
         if (c != null) {
             waiter.up(c);
+        } else if (next != null) {
+            loop.at(next.since.plus(QUIET), () -> {
+                if (mayReuse(next.connection)) {
+                    waiter.up(next.connection);
+                } else {
+                    next.connection.abandon();
+                    connect(waiter, reserved);
+                }
+            });
         } else {
             connect(waiter, reserved);
         }
     }
 
+    private boolean mayReuse(EngineConnection c) {
+        return !retired && !c.isStale();
+    }
+
     private EngineConnection quietOne() {
         retireIdle();
         Instant latest = loop.now().minus(QUIET);
@@ -85,7 +103,7 @@
                 continue;
             }
             i.remove();
-            if (!next.connection.isStale()) {
+            if (mayReuse(next.connection)) {
                 return next.connection;
             }
             next.connection.abandon(); // takes nothing more out of the list
--- a/gateway/src/main/java/sandpaddle/http/Engines.java
+++ b/gateway/src/main/java/sandpaddle/http/Engines.java
@@ -15,7 +15,7 @@
 /** The engines that are listed, and for a moment those that were, by id, with what their connections share. */
 public final class Engines implements EngineSide {
     /** Idle connections end after this part of the time after which an engine closes them. */
-    private static final double IDLE_PART = 0.6;
+    private static final double IDLE_PART = 0.85;
     private static final Duration SWEEP = Duration.ofSeconds(1);
     /** Connections kept back for calls that give an attempt up: without them it would run beside the next. */
     private static final int RESERVED = 8;
--- a/gateway/src/main/java/sandpaddle/http/SideCall.java
+++ b/gateway/src/main/java/sandpaddle/http/SideCall.java
@@ -10,8 +10,7 @@
  */
 final class SideCall implements EnginePool.Waiter, EngineConnection.Call {
     private static final Duration AGAIN = Duration.ofMillis(20);
-    /** By then an engine has dropped what it was not asked for. */
-    private static final Duration MOST = Duration.ofMillis(2100);
+    private static final Duration OUT_OF_REACH = Duration.ofMillis(100); // between tries to reach a silent engine
     /** A reset that takes a written call back shows by then. */
     private static final Duration SETTLED = Duration.ofMillis(40);
 
@@ -19,23 +18,28 @@
     private final Engines engines;
     private final EnginePool pool;
     private final byte[] request;
-    private final Instant until;
+    private final Instant from, until;
     private Runnable told;
+    private boolean fresh; // the connection came up for this call
     private int writing; // numbers the tries: only the latest may settle
 
-    private SideCall(Loop loop, Engines engines, EnginePool pool, byte[] request, Runnable told) {
+    private SideCall(Loop loop, Engines engines, EnginePool pool, byte[] request, Instant until, Runnable told) {
         this.loop = loop;
         this.engines = engines;
         this.pool = pool;
         this.request = request;
         this.told = told;
-        until = loop.now().plus(MOST);
+        this.until = until;
+        from = loop.now();
     }
 
-    /** {@code told} runs once, in a later turn or now: when the call has come whole, or nobody is there to read it. */
-    static void make(Loop loop, Engines engines, EnginePool pool, byte[] request, Runnable told) {
+    /**
+     * {@code told} runs once, in a later turn or now: when the call has come whole, or at {@code until}, when an engine
+     * has dropped what it was not asked for. That an engine cannot be reached proves nothing of what runs on it.
+     */
+    static void make(Loop loop, Engines engines, EnginePool pool, byte[] request, Instant until, Runnable told) {
         engines.sideCalls(1);
-        pool.acquireReserved(new SideCall(loop, engines, pool, request, told));
+        pool.acquireReserved(new SideCall(loop, engines, pool, request, until, told));
     }
 
     private void end() {
@@ -47,38 +51,35 @@
         }
     }
 
-    private void again() {
-        if (loop.now().isBefore(until)) {
-            loop.after(AGAIN, () -> {
-                if (told != null) {
-                    pool.acquireReserved(this);
-                }
-            });
-        } else {
-            end();
+    private void again(Duration pause) {
+        if (!loop.now().plus(pause).isBefore(until)) {
+            loop.at(until, this::end);
+            return;
         }
+        loop.after(pause, () -> {
+            if (told != null) {
+                pool.acquireReserved(this);
+            }
+        });
     }
 
     @Override
     public void up(EngineConnection connection) {
         writing++;
+        fresh = connection.isUpSince(from);
         connection.call(request, Attempt.SILENT, this);
     }
 
     @Override
     public void down(EnginePool.Down how, String why) {
-        if (how == EnginePool.Down.NO_ROOM) {
-            again();
-        } else {
-            end(); // the process or its machine is gone
-        }
+        again(how == EnginePool.Down.NO_ROOM ? AGAIN : OUT_OF_REACH);
     }
 
     @Override
     public void written() {
         int mine = writing;
         loop.after(SETTLED, () -> {
-            if (mine == writing) {
+            if (mine == writing && fresh) { // an older connection may lead to a machine that is cut off
                 end();
             }
         });
@@ -95,10 +96,10 @@
     @Override
     public void failed(EngineConnection.Failure how, String why, boolean maybeSent) {
         writing++;
-        if (how == EngineConnection.Failure.BROKEN && told != null) {
-            again();
+        if (how != EngineConnection.Failure.MALFORMED && told != null) {
+            again(AGAIN);
         } else {
-            end(); // silent: written long ago; malformed: it was read
+            end(); // it was read
         }
     }
 }
--- a/gateway/src/main/java/sandpaddle/query/EngineSide.java
+++ b/gateway/src/main/java/sandpaddle/query/EngineSide.java
@@ -24,6 +24,9 @@
         /** News of its progress, as the engine words it. */
         void note(String topic, double value);
 
+        /** Its engine cannot be reached any more; the attempt is out nevertheless, for what it runs may go on. */
+        void outOfReach();
+
         /** Its end, once. */
         void ended(AttemptEnd end);
     }
--- a/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -309,6 +309,12 @@
                 }
             }
 
+            @Override
+            public void outOfReach() {
+                QueryLog.outOfReach(x, number, a.engine());
+                tell(new Gateway.ProbeResult(a.engine(), Gateway.Result.CONNECT_FAILED, 0, null));
+            }
+
             @Override
             public void ended(AttemptEnd end) {
                 ended[0] = true;
--- a/gateway/src/main/java/sandpaddle/serve/QueryLog.java
+++ b/gateway/src/main/java/sandpaddle/serve/QueryLog.java
@@ -33,6 +33,12 @@
         }
     }
 
+    static void outOfReach(Exchange x, int attempt, String engine) {
+        if (LogEvent.isDebugOn()) {
+            line(x, "engine out of reach").with("attempt", attempt).with("engine", engine).debug();
+        }
+    }
+
     static void ended(Exchange x, int attempt, String engine, AttemptEnd end, Duration elapsed) {
         if (LogEvent.isDebugOn()) {
             line(x, "attempt ended").with("attempt", attempt).with("engine", engine)
--- a/gateway/src/test/java/sandpaddle/http/HttpTest.java
+++ b/gateway/src/test/java/sandpaddle/http/HttpTest.java
@@ -64,11 +64,17 @@
 
     private static final class Heard implements EngineSide.Listener {
         private final List<AttemptEnd> ends = new ArrayList<>();
+        private int timesOutOfReach;
 
         @Override
         public void note(String topic, double value) {
         }
 
+        @Override
+        public void outOfReach() {
+            timesOutOfReach++;
+        }
+
         @Override
         public void ended(AttemptEnd end) {
             ends.add(end);
