Cold engines weighed by the query itself, trials on new connections, ease overrules the fleet

With three gateways the turn let each send one query of any weight: fells() multiplied the class's usual work by the gateways in turn, and the query's own work by one. Three reports of 6 s each in a second pass what a new engine bears. Checked by printing what the fallen one had been sent; the token bucket was ruled out (it pays the usual work, and held).

And pressed() held queries from engines that report ease, as long as the fleet as a whole was pressed; waiting queries that engines report counted for nothing.

Change: a query is weighed by the more of its own work and its class's, times the gateways in turn. A trial goes out on a connection that comes up for it. An engine that reports ease is not pressed for the fleet's sake, and reported waiting queries count in the view. COLD_BURST 0.8, now that weights are true.

--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -61,7 +61,7 @@
     private static final double COLD_EASE = 0.7; // reported share in use below which a cold engine bears more
     private static final double COLD_GAIN = 0.15; // more of that rate at a time, every CUT_EVERY_US at most
     private static final double COLD_GAIN_MOST = 2; // multiple of that rate
-    private static final double COLD_BURST = 0.6; // of what fells a cold engine: one query of each in turn
+    private static final double COLD_BURST = 0.8; // of what fells a cold engine: one query of each in turn
     private static final double RATE_SPAN_US = 5_000_000; // us: span of the rate of work sent to warm engines
     private static final long RATE_KNOWN_US = 2_000_000; // us of sending before that rate is trusted
     private static final double GIVE_UP_AHEAD = 1.5; // present latencies before due: later ones are half lost
@@ -286,7 +286,8 @@
         if (wideView() || !fresh(e)) {
             return wideView() ? threadsKnown(e) : Double.NaN;
         }
-        return Math.max(threadsKnown(e), e.scarcest / BUSY_SHARE * BUSY_THREADS * e.cores);
+        double busy = e.scarcest / BUSY_SHARE * BUSY_THREADS * e.cores;
+        return Math.max(threadsKnown(e), busy + e.waiting * width);
     }
 
     /**
@@ -308,7 +309,7 @@
         return e.slow > Math.log(PRESSURE_SLOW)
                 || now - Math.max(e.busyAt, stalledAt) < (rarelyUsed() ? REPORT_FRESH_US : PRESSURE_HOLD_US)
                 || e != fleet && threadsKnown(e) > BUSY_THREADS * coresNow(e)
-                || e != fleet && rarelyUsed() && pressed(fleet);
+                || e != fleet && rarelyUsed() && !(fresh(e) && e.scarcest < COLD_EASE) && pressed(fleet);
     }
 
     private void send(Held h, Engine e) {
@@ -331,7 +332,8 @@
         if (memory > 0 || priority != 1) {
             out.accept(new SetTerms(h.request.id(), priority, memory));
         }
-        out.accept(new Send(h.request.id(), e.id, timeoutUs(h, a.expectUs())));
+        boolean trial = judges(e, c).stream().anyMatch(this::onTrial);
+        out.accept(new Send(h.request.id(), e.id, timeoutUs(h, a.expectUs()), trial));
     }
 
     /**
@@ -770,15 +772,15 @@
     }
 
     /**
-     * Whether a cold engine might fall over if all sent it such a query at once. The turn passes on with each
-     * span in which it may fall: as many gateways have it as may send one each, with the one before.
+     * Whether a cold engine might fall over if all sent it such a query at once, by its weight or its
+     * class's. The turn passes with each span in which it may fall: as many have it as may send one each.
      */
     private boolean fells(Held h, Engine e) {
         long turns = (now - e.entry.startedUs()) / Math.max(1, s.rules().fallUs()) + e.id.hashCode();
         int atOnce = Math.min(Math.floorMod(s.me() - turns, s.gateways()) + 2, s.gateways());
-        double most = s.rules().fallMultiple() * s.rules().fallUs() * coresNow(e);
-        return e.warmth(s.rules(), now) < 1
-                && Math.max(workOf(h), atOnce * known[h.request.cls()].workUs / COLD_BURST) > most;
+        double most = COLD_BURST * s.rules().fallMultiple() * s.rules().fallUs() * coresNow(e);
+        double weight = Math.max(workOf(h), known[h.request.cls()].workUs);
+        return e.warmth(s.rules(), now) < 1 && atOnce * weight > most;
     }
 
     private void spendCold(Held h, Engine e) {
@@ -878,12 +880,14 @@
         e.report = load;
         e.reportAt = at;
         e.scarcest = 0;
+        e.waiting = 0;
         boolean adapts = e.warmth(s.rules(), now) < 1 && now - e.cutAt > CUT_EVERY_US;
         for (int i = 0; i < load.length; i++) {
             Field f = s.reportFields().get(i);
             if (f == Field.MEMORY || inflightField < 0 && SHARES.contains(f)) { // others level off at 1
                 e.scarcest = Math.max(e.scarcest, load[i]);
             }
+            e.waiting += f == Field.QUEUE ? load[i] : 0;
             if (SHARES.contains(f) && load[i] >= BUSY_SHARE || f == Field.QUEUE && load[i] >= 1) {
                 e.busyAt = Math.max(e.busyAt, at);
             }
@@ -913,7 +917,7 @@
         if (!s.limits().probes()) {
             return;
         }
-        boolean viewMatters = !s.reportsInAnswers() && nearBusy();
+        boolean viewMatters = !s.reportsInAnswers() && viewedAverage > NEAR_BUSY;
         probesSaved = saved(probesSaved, s.charges().probe(), viewMatters ? VIEW_MOST : CHARGE_MOST);
         Engine stalest = null;
         long longest = now;
@@ -1047,14 +1051,10 @@
      * enough at a gateway with little traffic, so reports of engines at ease on average overrule it.
      */
     private boolean ownLoadIsHigh() {
-        return inflightField < 0 && (viewedAverage == 0 || nearBusy())
+        return inflightField < 0 && (viewedAverage == 0 || viewedAverage > NEAR_BUSY)
                 && fleet.ownAll > BUSY_THREADS * share * fleet.cores;
     }
 
-    private boolean nearBusy() {
-        return viewedAverage > NEAR_BUSY;
-    }
-
     private void startSweeping() {
         if (!sweeping) {
             sweeping = true;
--- a/gateway/src/main/java/sandpaddle/decide/Gateway.java
+++ b/gateway/src/main/java/sandpaddle/decide/Gateway.java
@@ -154,8 +154,8 @@
     /** What a gateway does. */
     sealed interface Action { }
 
-    /** Starts an attempt; attempts of a request count from 0 in order. */
-    record Send(String id, String engine, long timeoutUs) implements Action { }
+    /** Starts an attempt, counted from 0 in order. {@code trial}: the engine may be out of reach. */
+    record Send(String id, String engine, long timeoutUs, boolean trial) implements Action { }
 
     /** Sets priority (0 to 3) and memory (0: the engine's choice) for later sends; priority also for running ones. */
     record SetTerms(String id, int priority, double memoryMb) implements Action { }
--- a/gateway/src/main/java/sandpaddle/decide/State.java
+++ b/gateway/src/main/java/sandpaddle/decide/State.java
@@ -88,6 +88,7 @@
         final List<Attempt> lost = new ArrayList<>(); // a room's that timed out since its last answer
         double[] report;
         double scarcest; // share in use of its scarcest reported resource
+        double waiting; // queries in its line for memory, as reported
         double slow; // logarithm of the slowdown against the best
         double bound; // most threads under pressure, of all gateways
         double failing; // share of recent attempts
--- a/gateway/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -64,7 +64,7 @@
         this.listener = listener;
         pool = engines.pool(engine);
         timeout = loop.at(order.until(), () -> giveUp(new AttemptEnd.TimedOut(), false));
-        pool.acquire(new EnginePool.Waiter() {
+        EnginePool.Waiter first = new EnginePool.Waiter() {
             @Override
             public void up(EngineConnection c) {
                 post(c);
@@ -77,7 +77,12 @@
                             : new AttemptEnd.NotConnected(why));
                 }
             }
-        });
+        };
+        if (order.isTrial()) {
+            pool.connect(first); // one from before may lead to a machine that is cut off, and reads it when it is back
+        } else {
+            pool.acquire(first);
+        }
     }
 
     /** Guards the drain rule: the list may have changed while the connection came up. */
--- a/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -296,7 +296,7 @@
         Instant until = a.timeoutUs() == 0 ? x.expiresAt : now.plus(Micros.span(a.timeoutUs()));
         boolean last = !until.isBefore(x.expiresAt);
         AttemptOrder order = new AttemptOrder(x.query.trace(), x.query.route(), x.query.statement(), x.memoryMb,
-                x.priority, last ? x.expiresAt : until, last);
+                x.priority, last ? x.expiresAt : until, last, a.trial());
         door.sent(x);
         QueryLog.sent(x, number, a.engine());
         boolean[] ended = new boolean[1];
--- a/gateway/src/test/java/sandpaddle/http/HttpTest.java
+++ b/gateway/src/test/java/sandpaddle/http/HttpTest.java
@@ -91,7 +91,8 @@
     }
 
     private static AttemptOrder order(Loop loop) {
-        return new AttemptOrder("00000000000000a1", "load", new byte[] {'x'}, 0, 1, loop.now().plusSeconds(4), true);
+        return new AttemptOrder("00000000000000a1", "load", new byte[] {'x'}, 0, 1, loop.now().plusSeconds(4), true,
+                false);
     }
 
     /** Guards the drain rule: an engine that drains while the connection comes up is sent nothing. */
--- a/gateway/src/test/java/sandpaddle/http/OutOfReachTest.java
+++ b/gateway/src/test/java/sandpaddle/http/OutOfReachTest.java
@@ -132,9 +132,13 @@
     }
 
     private EngineSide.Running start(Heard heard) {
+        return start(heard, false);
+    }
+
+    private EngineSide.Running start(Heard heard, boolean trial) {
         String trace = "00000000000000%02d".formatted(traces++);
         return engines.start("e", new AttemptOrder(trace, "load", new byte[] {'x'}, 0, 1, clock.now.plusSeconds(9),
-                true), heard);
+                true, trial), heard);
     }
 
     private int posts() {
@@ -208,6 +212,22 @@
         assertEquals(heard.ends.get(0).getClass(), AttemptEnd.Broken.class);
     }
 
+    /** Guards against a POST into a machine that is cut off, which may yet read it when it is back. */
+    @Test
+    public void aTrialGoesOnAConnectionThatComesUpForIt() throws Exception {
+        Heard first = new Heard();
+        start(first);
+        until(() -> posts() == 1);
+        answer(0);
+        until(() -> !first.ends.isEmpty());
+        pass(Duration.ofMillis(100));
+        Heard trial = new Heard();
+        start(trial, true);
+        until(() -> posts() == 2);
+        assertEquals(accepted.size(), 2);
+        assertEquals(trial.ends, List.of());
+    }
+
     /** Guards a quick second attempt where it is proven: a process that dies resets its connections. */
     @Test
     public void aProcessThatDiedIsKnownAtOnce() throws Exception {
