Memory grants learnt from what notes say is missing: a third to two thirds of queries spilled

A query that spills works up to four times as long, so a fleet at two thirds of its cores did far less than two thirds of its work.

Checked: the note comes with the first answer (median below 10 ms) and never changes within an attempt; every attempt tells notes, so that none of this kind means enough. Ruled out as the cause of the loss: load reports on polls (202 has none), health. memoryBias in learnCost was to correct this, but hears of memory only where answers tell the cost, which they do not here.

Change: a class's grants grow with the part that notes say is missing and shrink by a little with each query that lacks nothing, so that one part in a hundred may be missing on average; bounded at half and three times.

Tests: ThinTrafficTest (six stories; grants, ease, waiting queries, trials named as such).

--- a/gateway/src/main/java/sandpaddle/config/Row.java
+++ b/gateway/src/main/java/sandpaddle/config/Row.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 
@@ -147,12 +146,4 @@
         }
         return load;
     }
-
-    public byte[] bytes(String field) throws FieldException {
-        try {
-            return HexFormat.of().parseHex(text(field));
-        } catch (IllegalArgumentException e) {
-            throw wrong(field, "is not hex");
-        }
-    }
 }
--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -11,7 +11,7 @@
 /**
  * All decisions of one gateway. The interface (settings, events, actions) is in Gateway.java.
  *
- * <p>In order: figures, state, events, ordinary path, outcomes, health, rules, reports, probes, peers.
+ * <p>In order: figures, state, events, ordinary path, outcomes, health, rules, reports, probes, the fleet.
  */
 public final class Decide implements Gateway {
     // Thread bound: it binds only under pressure. Slowdowns are against the best latency known.
@@ -36,7 +36,6 @@
     private static final int BEST_AFTER = 20; // answers before a class's best latency means anything
     private static final double USUAL_OF_AIM = 0.3; // before any answer, a class's usual time in its aim
     private static final double GROUP_THREADS = 0.6; // threads a core: what a warm data group outweighs
-    private static final double UNHEARD = 1.5; // times the average: what nobody hears of may be silent
     private static final double TIE_QUERY = 0.5; // part of a query: loads this close tie
 
     // Health: an engine is closed, then tried one query at a time.
@@ -67,13 +66,13 @@
     private static final double GIVE_UP_AHEAD = 1.5; // present latencies before due: later ones are half lost
     private static final long RETRY_AFTER_US = 500_000; // us of advice to a refused client
     private static final double GRANT_OVER = 1.15; // memory granted over the corrected estimate: its scatter
+    private static final double GRANT_WEIGHT = 0.2; // of a query in its class's grants
+    private static final double GRANT_SHORT = 0.01; // of a grant that may be missing, on average
     private static final long SWEEP_US = 50_000; // us between sweeps over held requests and engines
     private static final int STALL_SWEEPS = 4; // sweeps late: this gateway stood still
-    private static final long TELL_EVERY_US = 200_000; // us between messages to peers: cheap, and current
-    private static final double CHARGE_MOST = 0.003; // points that messages may cost, and probes as much
+    private static final double CHARGE_MOST = 0.003; // points that probes may cost
     private static final double VIEW_MOST = 0.012; // points for probes near a jam, where nothing else tells
-    private static final double SAVED = 3; // probes, or full messages, that may be saved up
-    private static final long PEER_FRESH_US = 1_500_000; // us that a message counts: several may be lost
+    private static final double SAVED = 3; // probes that may be saved up
     private static final double SHARE_WEIGHT = 0.02; // of a sweep in smoothed rates: some 3 s matter
     private static final double SHARE_LEAST = 0.3; // of an equal share: the least assumed
     private static final long PROBE_EVERY_US = 1_500_000; // us between probes of one engine
@@ -83,7 +82,6 @@
     private final SplittableRandom random;
     private final int inflightField;
     private double share;
-    private final Peers peers = new Peers();
     private final Map<String, Engine> engines = new LinkedHashMap<>();
     private final List<Engine> listed = new ArrayList<>(); // those that are up
     private final Engine fleet; // all engines taken as one
@@ -97,7 +95,7 @@
     private final ArrayDeque<Long> furtherAt = new ArrayDeque<>();
     private final Known[] known;
     private final State.Rate warmWork = new State.Rate(RATE_SPAN_US);
-    private long answeredAt = NEVER, toldAt = NEVER, stalledAt = NEVER, sweptAt, seq;
+    private long answeredAt = NEVER, stalledAt = NEVER, sweptAt, seq;
     private double takenRate; // requests a second, smoothed
     private double firstsRate; // the first tries among them
     private int takenSince, firstsSince; // since the last sweep
@@ -106,7 +104,7 @@
     private double answersSlow; // logarithm of the fleet's slowdown by answers alone
     private double viewedAverage; // threads per core over the engines seen: what one not seen counts as
     private double width = 1; // threads of an own query, on average
-    private double probesSaved = SAVED, messagesSaved = SAVED;
+    private double probesSaved = SAVED;
     private boolean sweeping;
     private long now;
     private Consumer<Action> out;
@@ -141,14 +139,12 @@
             left(requests.get(e.id()));
         } else if (event instanceof ProbeResult e) {
             probed(e);
-        } else if (event instanceof PeerMessage e) {
-            hearPeer(e);
         } else if (event instanceof Note e) {
-            noted(requests.get(e.id()), e.attempt());
+            noted(requests.get(e.id()), e);
         } else if (event instanceof Timer) {
             sweep();
         }
-        boolean news = event instanceof PeerMessage || event instanceof ProbeResult || event instanceof Note;
+        boolean news = event instanceof ProbeResult || event instanceof Note;
         if (!news) { // the next sweep acts on these
             release();
             shedHopeless();
@@ -252,12 +248,12 @@
                 : (e.threads[c] + reported) / coresNow(e);
     }
 
-    /** Reported running queries times the share; where reports lack them peers' threads, else own queries. */
+    /** Reported running queries times the share; where reports lack them own queries. */
     private double reportedLoad(Engine e, int c) {
         if (inflightField >= 0) {
             return fresh(e) ? e.report[inflightField] * share : Double.NaN;
         }
-        return peers.isEmpty() ? e.queries : e.peerThreads[c];
+        return e.queries;
     }
 
     /** Ties: fewest known threads of all gateways, and the data group's engines (all gateways hash alike). */
@@ -265,20 +261,12 @@
         double affinity = h.request.dataGroup() < 0 ? random.nextDouble()
                 : State.hash(h.request.dataGroup(), e.id);
         double seen = viewedThreads(e);
-        return GROUP_THREADS * affinity - (Double.isNaN(seen) ? unseenThreads() : seen / coresNow(e));
+        return GROUP_THREADS * affinity - (Double.isNaN(seen) ? viewedAverage : seen / coresNow(e));
     }
 
-    /**
-     * For ties, an engine unheard of counts as average, or as more where answers bring reports and peers pass
-     * them on: one that nobody hears of may answer nobody. Harm: a started one gets its first queries late.
-     */
-    private double unseenThreads() {
-        return viewedAverage * (s.reportsInAnswers() && s.limits().peers() ? UNHEARD : 1);
-    }
-
-    /** Whether peers tell most of what runs. */
+    /** Whether all that runs is its own. */
     private boolean wideView() {
-        return 2 * peers.size() >= s.gateways() - 1;
+        return s.gateways() == 1;
     }
 
     /** Threads seen on an engine, or as many as its scarcest resource is busy for; NaN: unseen. */
@@ -329,6 +317,8 @@
         e.queries++;
         double memory = s.terms().grants() ? h.request.memoryMb() * known[c].memoryBias * GRANT_OVER : 0;
         int priority = s.terms().priorities() && yieldsMost(c) ? 3 : 1;
+        h.grantedMb = memory;
+        h.missingMb = 0;
         if (memory > 0 || priority != 1) {
             out.accept(new SetTerms(h.request.id(), priority, memory));
         }
@@ -446,6 +436,9 @@
         judges(e, a.held().request.cls()).forEach(this::reopen);
         double latency = o.elapsedUs() > 0 ? o.elapsedUs() : Math.max(1, now - a.sentAt());
         learn(a, latency, true);
+        if (a.held().missingMb == 0) {
+            learnMemory(a.held());
+        }
         learnCost(known[a.held().request.cls()], a.held(), o, latency);
     }
 
@@ -575,9 +568,22 @@
         }
     }
 
-    private void noted(Held h, int attempt) {
-        if (h != null && h.out != null && h.out.number() == attempt) {
+    private void noted(Held h, Note n) {
+        if (h != null && h.out != null && h.out.number() == n.attempt()) {
             h.notedAt = now;
+            if (n.topic() == Topic.SPILL && h.missingMb == 0) {
+                h.missingMb = n.x();
+                learnMemory(h);
+            }
+        }
+    }
+
+    /** Grants grow with what notes say is missing, and shrink a little with each query that lacks nothing. */
+    private void learnMemory(Held h) {
+        if (h.grantedMb > 0 && !s.terms().tellsCost()) {
+            Known k = known[h.request.cls()];
+            double missing = Math.min(1, h.missingMb / h.grantedMb);
+            k.memoryBias = State.clamp(k.memoryBias * (1 + GRANT_WEIGHT * (missing - GRANT_SHORT)), 0.5, 3);
         }
     }
 
@@ -814,7 +820,6 @@
         }
         for (EngineEntry entry : l.entries()) {
             Engine e = engines.computeIfAbsent(entry.id(), id -> new Engine(id, known.length));
-            peers.byHash.putIfAbsent(entry.id().hashCode(), e);
             e.room = rooms.computeIfAbsent(entry.zone(), z -> new Engine("zone " + z, 0));
             boolean restarted = e.entry == null || e.entry.startedUs() != entry.startedUs();
             e.entry = entry;
@@ -837,11 +842,7 @@
 
     /** Gone with nothing out: a late report of it finds nobody. */
     private boolean isForgotten(Engine e) {
-        if (e.up || e.entry.status() == Status.DRAINING || !e.out.isEmpty()) {
-            return false;
-        }
-        peers.byHash.remove(e.id.hashCode(), e);
-        return true;
+        return !e.up && e.entry.status() != Status.DRAINING && e.out.isEmpty();
     }
 
     int enginesKnown() {
@@ -937,7 +938,7 @@
         }
     }
 
-    /** Probes or full messages saved up: so many a query that the charge stays small, one at most. */
+    /** Probes saved up: so many a query that the charge stays small, one at most. */
     private double saved(double before, double charge, double most) {
         double each = charge > 0 ? Math.min(1, most / charge) : 1;
         return Math.min(SAVED, before + each * takenRate * SWEEP_US / 1e6);
@@ -962,49 +963,11 @@
         }
     }
 
-    // ---- The view beyond this gateway: peers' threads, all running threads, this gateway's share.
-
-    /** Tells peers the rate of requests, own threads by engine and class, and the freshest reports known. */
-    private void tellPeers() {
-        messagesSaved = saved(messagesSaved, s.charges().peer(), CHARGE_MOST);
-        if (!s.limits().peers() || s.gateways() == 1 || now - toldAt < TELL_EVERY_US
-                || messagesSaved < 1) {
-            return;
-        }
-        News news = new News(takenRate, new ArrayList<>(), new ArrayList<>());
-        listed.stream().filter(e -> e.queries > 0)
-                .forEach(e -> news.own().add(new News.Own(e.id.hashCode(), e.threads)));
-        listed.stream().filter(this::fresh).sorted(Comparator.comparingLong(e -> -e.reportAt))
-                .forEach(e -> news.heard().add(News.Heard.of(e, now)));
-        byte[] body = news.encode(known.length);
-        int others = s.gateways() - 1; // where not all can be told, reports travel from one to the next
-        boolean all = messagesSaved * News.MOST_BYTES >= (double) body.length * others;
-        double cost = (double) body.length * (all ? others : 1) / News.MOST_BYTES;
-        if (cost <= messagesSaved) {
-            messagesSaved -= cost;
-            toldAt = now;
-            int peer = random.nextInt(others);
-            out.accept(new TellPeers(all ? null : peer < s.me() ? peer : peer + 1, body));
-        }
-    }
-
-    private void hearPeer(PeerMessage m) {
-        News news = News.decode(m.body(), known.length, s.reportFields().size());
-        if (news == null) {
-            return;
-        }
-        peers.hear(m.sender(), now, news);
-        for (News.Heard h : news.heard()) {
-            Engine e = peers.byHash.get(h.engine());
-            if (e != null) {
-                hear(e, h.load(), now - h.ageUs());
-            }
-        }
-    }
+    // ---- The view beyond this gateway: all running threads, and this gateway's share.
 
-    /** All threads known on an engine: own and peers', or the report's queries as wide as own ones. */
+    /** All threads known on an engine: own, or the report's queries as wide as own ones. */
     private double threadsKnown(Engine e) {
-        double all = e.ownAll + e.peersAll;
+        double all = e.ownAll;
         if (inflightField >= 0 && fresh(e)) {
             all = Math.max(all, e.report[inflightField] * width);
         }
@@ -1012,13 +975,12 @@
     }
 
     /**
-     * This gateway's part of the traffic: by peers' rates, else by reported queries, else one of n. One that
+     * This gateway's part of the traffic: by reported queries, else one of n. One that
      * holds must not shrink by it: its share then follows its first tries. (If held queries counted, all
      * shares grew where all gateways held, and the bounds opened just when they should bind.) Harm: where
      * traffic as a whole grows meanwhile, a gateway that holds takes its own growth for its share's.
      */
     private void learnShare() {
-        peers.forgetBefore(now - PEER_FRESH_US);
         double own = 0;
         double all = 0;
         double threads = 0;
@@ -1030,10 +992,7 @@
             }
         }
         double seen = 1.0 / s.gateways();
-        if (!peers.isEmpty()) {
-            double rates = peers.meanRate() * (s.gateways() - 1) + takenRate; // unheard ones are held alike
-            seen = rates > 0 ? takenRate / rates : seen;
-        } else if (all > 0) {
+        if (all > 0) {
             seen = own / all;
             if (held.isEmpty()) {
                 calmShare = firstsRate > 0 ? share / firstsRate : 0;
@@ -1089,7 +1048,6 @@
             fleet.busyAt = now;
         }
         probe();
-        tellPeers();
         keys.values().removeIf(k -> k.line.isEmpty() && k.restUntil <= now);
         out.accept(new SetTimer("sweep", now + SWEEP_US));
     }
--- a/gateway/src/main/java/sandpaddle/decide/Gateway.java
+++ b/gateway/src/main/java/sandpaddle/decide/Gateway.java
@@ -66,7 +66,7 @@
     record Kind(double cores, double memoryMb) { }
 
     /** What the site permits; times in microseconds. */
-    record Limits(boolean cancel, boolean probes, boolean peers, boolean retryAfter, boolean secondCopies,
+    record Limits(boolean cancel, boolean probes, boolean retryAfter, boolean secondCopies,
             int maxAttempts, int maxHeld, long maxRetryAfterUs, long connectTimeoutUs) { }
 
     /** Figures of the rules; {@code keyRestUs} and {@code budgetSpanUs} are 0 where that rule is not set. */
@@ -81,8 +81,8 @@
     record Terms(boolean grants, boolean priorities, double mostGrant, boolean pages, boolean tellsCost,
             long progressUs) { }
 
-    /** What service costs besides: points for a probe, and for a full message to one peer, a query. */
-    record Charges(double probe, double peer) { }
+    /** What service costs besides: points for a probe a query. */
+    record Charges(double probe) { }
 
     /** All that a gateway is told at start; {@code subscribe}: lists come only when asked for. */
     record Settings(int gateways, int me, int zone, boolean subscribe, List<RequestClass> classes, List<Kind> kinds,
@@ -102,7 +102,7 @@
             need(rules.fallMultiple() > 0, "fall multiple");
             need(rules.drainGraceUs() >= 0, "drain grace");
             need(rules.budgetSpanUs() >= 0 && rules.budgetFree() >= 0 && rules.budgetShare() >= 0, "budget");
-            need(charges.probe() >= 0 && charges.peer() >= 0, "charges");
+            need(charges.probe() >= 0, "charges");
         }
 
         private static void need(boolean holds, String setting) {
@@ -147,8 +147,6 @@
 
     record ProbeResult(String engine, Result result, long elapsedUs, double[] load) implements Event { }
 
-    record PeerMessage(int sender, byte[] body) implements Event { }
-
     record Timer(String token) implements Event { }
 
     /** What a gateway does. */
@@ -168,9 +166,6 @@
 
     record Probe(String engine) implements Action { }
 
-    /** At most 256 bytes, to one peer; to all where {@code peer} is null. */
-    record TellPeers(Integer peer, byte[] body) implements Action { }
-
     record SetTimer(String token, long atUs) implements Action { }
 
     record Subscribe() implements Action { }
--- a/gateway/src/main/java/sandpaddle/decide/State.java
+++ b/gateway/src/main/java/sandpaddle/decide/State.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.ToDoubleFunction;
 import sandpaddle.decide.Gateway.EngineEntry;
 import sandpaddle.decide.Gateway.Request;
@@ -78,8 +76,7 @@
         boolean up;
         double cores;
         final double[] threads; // own, by class
-        final double[] peerThreads; // told by peers, by class
-        double ownAll, peersAll; // the sums of these
+        double ownAll; // their sum
         int queries; // own
         Engine room; // of its zone
         final Engine[] lines; // each class on this engine, judged for silence by itself
@@ -101,7 +98,6 @@
         Engine(String id, int classes) {
             this.id = id;
             threads = new double[classes];
-            peerThreads = new double[classes];
             lines = new Engine[classes];
             for (int c = 0; c < classes; c++) {
                 lines[c] = new Engine(id + " class " + c, 0);
@@ -130,6 +126,7 @@
         long due, notedAt = NEVER; // notedAt: of the attempt that is out
         int attempts;
         int errors; // of its attempts
+        double grantedMb, missingMb; // of its latest attempt
         boolean mayHaveRun, over, calledOff;
         Engine ranOn, last;
         long ranAt;
@@ -146,54 +143,6 @@
 
     record Attempt(Held held, Engine engine, int number, long sentAt, long expectUs) { }
 
-    /** What a peer last told, and when. */
-    record PeerView(long at, News news) { }
-
-    /** The latest word of each peer; keeps the sums of their threads on each engine. */
-    static final class Peers {
-        final Map<Integer, Engine> byHash = new HashMap<>();
-        private final Map<Integer, PeerView> views = new LinkedHashMap<>();
-
-        int size() {
-            return views.size();
-        }
-
-        boolean isEmpty() {
-            return views.isEmpty();
-        }
-
-        void hear(int sender, long now, News news) {
-            PeerView before = views.put(sender, new PeerView(now, news));
-            if (before != null) {
-                count(before.news, -1);
-            }
-            count(news, 1);
-        }
-
-        void forgetBefore(long time) {
-            views.values().removeIf(v -> {
-                if (v.at < time) {
-                    count(v.news, -1);
-                }
-                return v.at < time;
-            });
-        }
-
-        double meanRate() {
-            return views.values().stream().mapToDouble(v -> v.news.rate()).average().orElse(0);
-        }
-
-        private void count(News news, int sign) {
-            for (News.Own o : news.own()) {
-                Engine e = byHash.get(o.engine());
-                for (int c = 0; e != null && c < o.threads().length; c++) {
-                    e.peerThreads[c] += sign * o.threads()[c];
-                    e.peersAll += sign * o.threads()[c];
-                }
-            }
-        }
-    }
-
     record Linger(Engine engine, int cls, int threads, long until) { }
 
     static final class KeyLine {
--- a/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -258,7 +258,7 @@
             loop.at(Micros.instant(a.atUs()), () -> tell(new Gateway.Timer(a.token())));
         } else if (action instanceof Gateway.Log a) {
             Logger.info(a.text());
-        } // there are no peers to tell, and the list comes without being asked for
+        } // the list comes without being asked for
     }
 
     private void answer(String id, Answer answer) {
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/decide/ThinTrafficTest.java
@@ -0,0 +1,126 @@
+package sandpaddle.decide;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static sandpaddle.decide.Site.MS;
+import static sandpaddle.decide.Site.S;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a gateway must learn from few queries: grants of memory, engines at ease, engines that may be cut off. */
+class ThinTrafficTest {
+    private static final List<Gateway.Field> PLATFORM = List.of(Gateway.Field.UTIL, Gateway.Field.QUEUE,
+            Gateway.Field.MEMORY);
+
+    private static Site site(int gateways, String... engines) {
+        return site(7, gateways, engines);
+    }
+
+    private static Site site(long seed, int gateways, String... engines) {
+        Site.Spec spec = new Site.Spec();
+        spec.seed = seed;
+        spec.gateways = gateways;
+        spec.fields = PLATFORM;
+        spec.grants = true;
+        Site site = new Site(spec);
+        for (String e : engines) {
+            site.list(Gateway.ListKind.CHANGES, Site.engine(e));
+        }
+        return site;
+    }
+
+    private static double granted(Site site, String id) {
+        return site.log.stream().filter(Gateway.SetTerms.class::isInstance).map(Gateway.SetTerms.class::cast)
+                .filter(t -> t.id().equals(id)).reduce((a, b) -> b).map(Gateway.SetTerms::memoryMb).orElse(0.0);
+    }
+
+    /** Runs queries one by one whose need is a multiple of their estimate; the last one's grant over its estimate. */
+    private static double grantAfter(Site site, int queries, double need, int tellings) {
+        double last = 0;
+        for (int i = 0; i < queries; i++) {
+            double estimate = 100 + i % 7 * 30;
+            String id = site.takeOf(1, estimate);
+            double grant = granted(site, id);
+            for (int t = 0; t < tellings && grant < need * estimate; t++) {
+                site.on(new Gateway.Note(id, 0, Gateway.Topic.SPILL, need * estimate - grant));
+            }
+            site.pass(300 * MS);
+            site.answer(id, Gateway.Result.OK);
+            last = grant / estimate;
+        }
+        return last;
+    }
+
+    @Test
+    void grantsGrowWithWhatIsMissingAndShrinkWhereNothingIs() {
+        Site site = site(14, "e0");
+        assertEquals(1.15, grantAfter(site, 1, 0.5, 1), 1e-9);
+        double learnt = grantAfter(site, 60, 1.6, 1);
+        assertTrue(learnt > 1.5 && learnt < 1.7, "granted " + learnt);
+        double less = grantAfter(site, 200, 0.8, 1);
+        assertTrue(less < 0.75 * learnt, "granted " + less);
+    }
+
+    @Test
+    void aSpillToldTwiceCountsOnce() {
+        assertEquals(grantAfter(site(14, "e0"), 5, 1.6, 1), grantAfter(site(14, "e0"), 5, 1.6, 4), 1e-9);
+    }
+
+    @Test
+    void noGrantRunsAwayWhereNothingHelps() {
+        double most = grantAfter(site(14, "e0"), 400, 1000, 1);
+        assertTrue(most < 4, "granted " + most);
+    }
+
+    private static void reports(Site site, String engine, double... report) {
+        String id = null;
+        while (id == null || !engine.equals(site.engineOf(id))) {
+            if (id != null) {
+                site.answer(id, Gateway.Result.OK);
+            }
+            id = site.take(0);
+        }
+        site.pass(20 * MS);
+        site.answer(id, Gateway.Result.OK, report);
+    }
+
+    /** One engine stands in a jam, the other says that it does not: what waits may go there. */
+    @Test
+    void anEngineAtEaseIsUsedWhateverTheFleetLooksLike() {
+        Site site = site(14, "busy", "easy");
+        reports(site, "busy", 1, 60, 1);
+        reports(site, "easy", 0.3, 0, 0.2);
+        site.pass(100 * MS);
+        for (int i = 0; i < 3; i++) {
+            assertEquals("easy", site.engineOf(site.take(1)));
+        }
+    }
+
+    @Test
+    void queriesThatWaitForMemoryCountAsLoad() {
+        int waiting = 0;
+        for (int i = 0; i < 60; i++) {
+            Site site = site(i, 14, "free", "line");
+            reports(site, "free", 0.85, 0, 0.5);
+            reports(site, "line", 0.85, 9, 0.5);
+            waiting += "line".equals(site.engineOf(site.take(0))) ? 1 : 0;
+        }
+        assertTrue(waiting <= 25, "sent " + waiting + " of 60"); // one in four: both draws fall on it
+    }
+
+    /** Guards the socket side: a connection from before may lead to a machine that is cut off. */
+    @Test
+    void aTrialIsNamedOne() {
+        Site site = site(2, "e0");
+        String first = site.take(0);
+        site.answer(first, Gateway.Result.CONNECT_FAILED);
+        site.pass(30 * S);
+        site.take(0);
+        List<Gateway.Send> sends = site.log.stream().filter(Gateway.Send.class::isInstance)
+                .map(Gateway.Send.class::cast).toList();
+        assertFalse(sends.get(0).trial());
+        assertTrue(sends.get(sends.size() - 1).trial());
+    }
+}
