The fleet's bound grows with the fleet's cores: gateways held queries before idle engines

The gateway had 31 to 57 threads out and its bound stood at 21, 1.2 threads a core times one fourteenth, for ten seconds and more.

Cause: adjustBound() added 1 / (bound * share) for each answer: one thread on 240 cores for each round of answers, a fourteenth of that at each gateway; a cut is 7 percent. And the bound ended at two threads a core of an equal share, though the front gives gateways of one hall more than those of another. Where reports lack running queries, share is never learnt.

Change: the fleet's bound grows by 0.3 threads a core for each round of answers near the best, between 2 and 4 threads a core. ThinTrafficTest: a gateway with twice an equal share and quick answers holds none; before, 200 of 200.

--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -22,6 +22,9 @@
     private static final double PRESSURE_SLOW = 2.5; // slowdown: pressure; aims leave room for about as much
     private static final double LATE_SHARE = 0.4; // share of attempts out past that slowdown: pressure too
     private static final double LIGHT_ROOM = 1.5; // bounds' multiple for the class of most worth for its work
+    private static final double FLEET_LEAST = 2.0; // threads per core that cuts leave the fleet
+    private static final double FLEET_MOST = 4.0; // threads per core: twice an equal share of a busy fleet
+    private static final double FLEET_GROWTH = 0.3; // threads per core, each round of answers near the best
     private static final double CUT = 0.93; // one cut: small, since a cut comes every CUT_EVERY_US
     private static final long CUT_EVERY_US = 250_000; // us: about the time in which a cut shows in latencies
     private static final long PRESSURE_HOLD_US = 1_000_000; // us that a busy report counts
@@ -473,9 +476,10 @@
     }
 
     private void adjustBound(Engine e) {
-        double most = e == fleet ? BOUND_START : BOUND_MOST; // engines differ: the fleet keeps room
+        double most = e == fleet ? FLEET_MOST : BOUND_MOST;
         if (e.slow < Math.log(WIDEN_BELOW)) {
-            e.bound = Math.min(e.bound + 1 / (e.bound * share), most * e.cores);
+            double more = e == fleet ? FLEET_GROWTH * e.cores : 1;
+            e.bound = Math.min(e.bound + more / (e.bound * share), most * e.cores);
         } else if (e.slow > Math.log(PRESSURE_SLOW)) {
             cut(e);
         }
@@ -483,7 +487,7 @@
 
     private void cut(Engine e) {
         if (now - e.cutAt > CUT_EVERY_US) {
-            e.bound = Math.max(BOUND_LEAST * e.cores, e.bound * CUT);
+            e.bound = Math.max((e == fleet ? FLEET_LEAST : BOUND_LEAST) * e.cores, e.bound * CUT);
             e.cutAt = now;
         }
     }
--- a/gateway/src/test/java/sandpaddle/decide/ThinTrafficTest.java
+++ b/gateway/src/test/java/sandpaddle/decide/ThinTrafficTest.java
@@ -6,6 +6,7 @@
 import static sandpaddle.decide.Site.MS;
 import static sandpaddle.decide.Site.S;
 
+import java.util.ArrayDeque;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -123,4 +124,29 @@
         assertFalse(sends.get(0).trial());
         assertTrue(sends.get(sends.size() - 1).trial());
     }
+
+    /** The front gives some gateways more than an equal share: while answers come near their best, none is held. */
+    @Test
+    void twiceAnEqualShareIsNotHeldWhileAnswersAreQuick() {
+        String[] engines = new String[30];
+        for (int i = 0; i < engines.length; i++) {
+            engines[i] = "e" + i;
+        }
+        Site site = site(14, engines);
+        ArrayDeque<String> out = new ArrayDeque<>();
+        int held = 0;
+        for (int turn = 0; turn < 600; turn++) { // a query every 50 ms, each runs for 0.65 s
+            String id = site.take(1);
+            out.add(id);
+            held += turn >= 400 && site.attempts(id) == 0 ? 1 : 0;
+            site.pass(50 * MS);
+            if (out.size() > 13) {
+                String oldest = out.poll();
+                if (site.attempts(oldest) > 0) {
+                    site.answer(oldest, Gateway.Result.OK, new double[] {0.8, 0, 0.5});
+                }
+            }
+        }
+        assertEquals(0, held);
+    }
 }
