Trials no longer fill an engine's connection table: they take the idle ones' place

Change: a trial is a send to what was silent or out of reach, not to what answers errors; its connection takes the place of idle ones, which are closed first since they may lead to a machine that is cut off.

Tests: the idle connection ends when a trial begins; an engine after an error gets no trial, one out of reach does.

--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -325,7 +325,7 @@
         if (memory > 0 || priority != 1) {
             out.accept(new SetTerms(h.request.id(), priority, memory));
         }
-        boolean trial = judges(e, c).stream().anyMatch(this::onTrial);
+        boolean trial = judges(e, c).stream().anyMatch(j -> j.silent); // what fails answers, and is in reach
         out.accept(new Send(h.request.id(), e.id, timeoutUs(h, a.expectUs()), trial));
     }
 
--- a/gateway/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -79,7 +79,7 @@
             }
         };
         if (order.isTrial()) {
-            pool.connect(first); // one from before may lead to a machine that is cut off, and reads it when it is back
+            pool.renew(first);
         } else {
             pool.acquire(first);
         }
--- a/gateway/src/main/java/sandpaddle/http/EnginePool.java
+++ b/gateway/src/main/java/sandpaddle/http/EnginePool.java
@@ -111,6 +111,15 @@
         return null;
     }
 
+    /**
+     * A new connection in place of the idle ones, which may lead to a machine that is cut off and reads what they bring
+     * when it is back. They are closed first: many gateways' idle connections fill an engine's table.
+     */
+    void renew(Waiter waiter) {
+        closeIdle();
+        connect(waiter);
+    }
+
     /** A new connection, whatever is idle. */
     void connect(Waiter waiter) {
         connect(waiter, false);
--- a/gateway/src/test/java/sandpaddle/decide/ThinTrafficTest.java
+++ b/gateway/src/test/java/sandpaddle/decide/ThinTrafficTest.java
@@ -111,18 +111,22 @@
         assertTrue(waiting <= 25, "sent " + waiting + " of 60"); // one in four: both draws fall on it
     }
 
-    /** Guards the socket side: a connection from before may lead to a machine that is cut off. */
-    @Test
-    void aTrialIsNamedOne() {
+    private static boolean laterSendIsTrial(Gateway.Result first) {
         Site site = site(2, "e0");
-        String first = site.take(0);
-        site.answer(first, Gateway.Result.CONNECT_FAILED);
+        site.answer(site.take(0), first);
         site.pass(30 * S);
         site.take(0);
         List<Gateway.Send> sends = site.log.stream().filter(Gateway.Send.class::isInstance)
                 .map(Gateway.Send.class::cast).toList();
         assertFalse(sends.get(0).trial());
-        assertTrue(sends.get(sends.size() - 1).trial());
+        return sends.get(sends.size() - 1).trial();
+    }
+
+    /** Guards the socket side: a connection from before may lead to a machine that is cut off; errors prove none is. */
+    @Test
+    void aTrialIsNamedOneWhereTheEngineMayBeCutOff() {
+        assertTrue(laterSendIsTrial(Gateway.Result.CONNECT_FAILED));
+        assertFalse(laterSendIsTrial(Gateway.Result.ERROR));
     }
 
     /** The front gives some gateways more than an equal share: while answers come near their best, none is held. */
--- a/gateway/src/test/java/sandpaddle/http/OutOfReachTest.java
+++ b/gateway/src/test/java/sandpaddle/http/OutOfReachTest.java
@@ -97,6 +97,14 @@
         }
     }
 
+    private static boolean hasEnded(SocketChannel c) {
+        try {
+            return c.read(ByteBuffer.allocate(16)) < 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Turns the loop and plays the engine's kernel until something is so. */
     private void until(BooleanSupplier so) throws IOException {
         long most = System.nanoTime() + Duration.ofSeconds(5).toNanos();
@@ -212,9 +220,12 @@
         assertEquals(heard.ends.get(0).getClass(), AttemptEnd.Broken.class);
     }
 
-    /** Guards against a POST into a machine that is cut off, which may yet read it when it is back. */
+    /**
+     * Guards against a POST into a machine that is cut off, which may yet read it when it is back, and against idle
+     * connections of many gateways that fill an engine's table with each trial.
+     */
     @Test
-    public void aTrialGoesOnAConnectionThatComesUpForIt() throws Exception {
+    public void aTrialGoesOnAConnectionThatComesUpInPlaceOfIdleOnes() throws Exception {
         Heard first = new Heard();
         start(first);
         until(() -> posts() == 1);
@@ -226,6 +237,7 @@
         until(() -> posts() == 2);
         assertEquals(accepted.size(), 2);
         assertEquals(trial.ends, List.of());
+        until(() -> hasEnded(accepted.get(0)));
     }
 
     /** Guards a quick second attempt where it is proven: a process that dies resets its connections. */
