--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -73,7 +73,7 @@
     private static final double GRANT_SHORT = 0.01; // of a grant that may be missing, on average
     private static final long SWEEP_US = 50_000; // us between sweeps over held requests and engines
     private static final int STALL_SWEEPS = 4; // sweeps late: this gateway stood still
-    private static final double CHARGE_MOST = 0.003; // points that probes may cost
+    private static final double CHARGE_MOST = 0.001; // points that probes may cost
     private static final double VIEW_MOST = 0.012; // points for probes near a jam, where nothing else tells
     private static final double SAVED = 3; // probes that may be saved up
     private static final double SHARE_WEIGHT = 0.02; // of a sweep in smoothed rates: some 3 s matter
