A jam is not forgotten between two reports: gateways let go as soon as engines were few

Lookups took seven times their time alone, two thirds of the reports sent came late or were given up.

Cause: a probe wrote what each gateway believed twice a second. Its bound stood at 33 to 39 threads while it had 45 to 102 out: the bound binds at engines under pressure, and 13 of 21 were. rarelyUsed() asked for less than one query a second and engine; with 24 a second it was so for 30 engines listed, and ended when nine were gone from the list. From then on a busy report counted for 1 s, about the time between two reports of one engine, and the fleet's pressure for nothing.

Change: up to three own queries a second and engine a busy report counts until it is stale, and an engine is pressed with the fleet.

--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -31,6 +31,7 @@
     private static final long FULL_HOLD_US = 300_000; // us without sends after a refusal as full
     private static final double BUSY_THREADS = 1.5; // known threads per core: busy, near the usual knee
     private static final double NEAR_BUSY = 1.2; // threads per core seen on average: a jam may begin
+    private static final double HEARD_OFTEN = 3; // own queries a second and engine: reports are current
     private static final double BUSY_SHARE = 0.9; // reported share of cores, disks or memory: little is left
     private static final long REPORT_FRESH_US = 3_000_000; // us: an older report counts as none
     private static final double SLOW_WEIGHT = 0.1; // of an answer in an engine's slowdown: some ten matter
@@ -295,12 +296,12 @@
         return now >= e.fullUntil && (within || !pressed(e));
     }
 
-    /** An engine that is rarely used counts as the fleet does: its own figures are too few and too old. */
+    /** An engine that is seldom heard counts as the fleet does: its own figures are too few and too old. */
     private boolean pressed(Engine e) {
         return e.slow > Math.log(PRESSURE_SLOW)
-                || now - Math.max(e.busyAt, stalledAt) < (rarelyUsed() ? REPORT_FRESH_US : PRESSURE_HOLD_US)
+                || now - Math.max(e.busyAt, stalledAt) < (seldomHeard() ? REPORT_FRESH_US : PRESSURE_HOLD_US)
                 || e != fleet && threadsKnown(e) > BUSY_THREADS * coresNow(e)
-                || e != fleet && rarelyUsed() && !(fresh(e) && e.scarcest < COLD_EASE) && pressed(fleet);
+                || e != fleet && seldomHeard() && !(fresh(e) && e.scarcest < COLD_EASE) && pressed(fleet);
     }
 
     private void send(Held h, Engine e) {
@@ -596,6 +597,11 @@
         return takenRate < listed.size();
     }
 
+    /** Reports come with answers: at few a second a jam is past when it is seen. */
+    private boolean seldomHeard() {
+        return takenRate < HEARD_OFTEN * listed.size();
+    }
+
     /** A trial may cost a query: rare at little traffic, so that many gateways don't flood a sick engine. */
     private void close(Engine e) {
         if (now >= e.closedUntil) {
--- a/gateway/src/test/java/sandpaddle/decide/ThinTrafficTest.java
+++ b/gateway/src/test/java/sandpaddle/decide/ThinTrafficTest.java
@@ -153,4 +153,28 @@
         }
         assertEquals(0, held);
     }
+
+    /** Two queries a second for each engine: what their reports said a while ago still holds, and all jam together. */
+    @Test
+    void aJamIsNotForgottenBetweenTwoReports() {
+        Site site = site(14, "e0", "e1", "e2", "e3");
+        ArrayDeque<String> out = new ArrayDeque<>();
+        for (int turn = 0; turn < 150; turn++) {
+            out.add(site.take(1));
+            site.pass(100 * MS);
+            if (out.size() > 3) {
+                String oldest = out.poll();
+                if (site.attempts(oldest) > 0) {
+                    site.answer(oldest, Gateway.Result.OK, new double[] {0.95, 0, 0.5});
+                }
+            }
+        }
+        site.pass(1500 * MS);
+        long before = site.log.stream().filter(Gateway.Send.class::isInstance).count();
+        for (int i = 0; i < 12; i++) {
+            site.take(1);
+        }
+        long sent = site.log.stream().filter(Gateway.Send.class::isInstance).count() - before;
+        assertTrue(sent < 3, "sent " + sent);
+    }
 }
