What was out of reach counts as cold when it is back: all gateways filled it at once

Cause: an engine that answers after a time out of reach was as warm as ever to Decide, and reported itself idle; 14 gateways with held queries each gave it some. Checked in virtual time: 14 modules, 30 engines, a zone out of reach for 5 s while the others are jammed, back before the list tells: 6.4 times what fells an engine, now under 1 (FleetTest). Ruled out: a POST read from a dead connection when the machine is back (resets in place of closes changed neither the falls nor the queries that nobody asks for; not kept).

Change: two refused connections in a row, or half of a zone's engines out of reach at once, and an engine counts as cold from the last failure on, until the list tells of its start. Not kept: 1.2 of the warm ones' rate for cold engines (fells one whose capacity is less than told, DecideTest).

Tests: the above; a scripted engine that closes waits for its accepting thread, since the kernel went on accepting: a storm story had failed once.

--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -537,8 +537,7 @@
                 close(e);
             }
         } else if (result == Result.CONNECT_FAILED) {
-            e.silent = true;
-            close(e);
+            unreachable(e);
         } else if (result == Result.TIMEOUT && overdue(a)) {
             e.room.lost.add(a);
             e.lines[a.held().request.cls()].lost.add(a);
@@ -551,6 +550,24 @@
         }
     }
 
+    /**
+     * One that was out of reach may have started again, and the list tells it seconds late: it counts as cold
+     * when it is back. Twice in a row, or half its zone: one lost connection is no sign of that.
+     */
+    private void unreachable(Engine e) {
+        boolean again = e.silent;
+        e.silent = true;
+        close(e);
+        List<Engine> zone = listed.stream().filter(x -> x.room == e.room).toList();
+        boolean zoneLost = zone.size() > 1 && 2 * zone.stream().filter(x -> x.silent).count() >= zone.size();
+        for (Engine x : zoneLost ? zone : again ? List.of(e) : List.<Engine>of()) {
+            x.lostAt = now;
+            x.coldGain = 1;
+            x.tokensUs = 0;
+            x.tokensAt = now;
+        }
+    }
+
     private void fails(Engine e, int failed) {
         e.failing += FAIL_WEIGHT * (failed - e.failing);
         fleet.failing += FLEET_FAIL_WEIGHT * (failed - fleet.failing);
@@ -871,6 +888,7 @@
             reopen(j);
         }
         e.report = null;
+        e.lostAt = NEVER; // the list knows better
         e.coldGain = 1;
         e.tokensUs = 0;
         e.tokensAt = now;
@@ -918,8 +936,7 @@
         e.probing = false;
         hear(e, p.load(), now);
         if (p.result() == Result.CONNECT_FAILED) {
-            e.silent = true;
-            close(e);
+            unreachable(e);
         }
     }
 
--- a/gateway/src/main/java/sandpaddle/decide/State.java
+++ b/gateway/src/main/java/sandpaddle/decide/State.java
@@ -94,6 +94,7 @@
         double coldGain; // multiple of the warm ones' rate that it bears while cold
         long reportAt = NEVER, cutAt = NEVER, busyAt = NEVER, answeredAt = NEVER, probedAt = NEVER, tokensAt;
         long closedUntil = NEVER, fullUntil = NEVER, closedFor;
+        long lostAt = NEVER; // last out of reach, so that it may have started again
 
         Engine(String id, int classes) {
             this.id = id;
@@ -107,8 +108,9 @@
 
         /** The part of its capacity that a started engine has at least, by the rules' figures. */
         double warmth(Gateway.Rules r, long now) {
-            double age = clamp(now - entry.startedUs(), 0, r.coldUs());
-            boolean warm = entry.startedUs() <= 0 || age == r.coldUs();
+            long from = Math.max(entry.startedUs(), lostAt);
+            double age = clamp(now - from, 0, r.coldUs());
+            boolean warm = from <= 0 || age == r.coldUs();
             return warm ? 1 : r.coldFrom() + (1 - r.coldFrom()) * age / r.coldUs();
         }
 
--- a/gateway/src/test/java/sandpaddle/decide/FleetTest.java
+++ b/gateway/src/test/java/sandpaddle/decide/FleetTest.java
@@ -5,7 +5,9 @@
 import static sandpaddle.decide.Site.S;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** What one gateway may do and many must not: many modules beside each other in virtual time, by turns of 10 ms. */
@@ -86,4 +88,94 @@
         double taken = GATEWAYS * 10 * (1e6 / (6 * TURN)) * (work[0] * 11 + work[1]) / 12;
         assertTrue(all > 0.2 * taken / 10, "sent " + all / 1e6 + " s of " + taken / 10 / 1e6);
     }
+
+    private static List<Site> sitesOfThirtyEngines() {
+        List<Site> sites = new ArrayList<>();
+        for (int me = 0; me < GATEWAYS; me++) {
+            Site.Spec spec = new Site.Spec();
+            spec.gateways = GATEWAYS;
+            spec.me = me;
+            spec.seed = me;
+            spec.fields = List.of(Gateway.Field.UTIL, Gateway.Field.QUEUE, Gateway.Field.MEMORY);
+            Site site = new Site(spec);
+            for (int i = 0; i < 30; i++) {
+                site.list(i == 0 ? Gateway.ListKind.CACHED : Gateway.ListKind.CHANGES,
+                        Site.engine("e" + i, i % 3, 0, 0, Gateway.Status.UP, 0));
+            }
+            sites.add(site);
+        }
+        return sites;
+    }
+
+    private static boolean isOfLostZone(String engine) {
+        return Integer.parseInt(engine.substring(1)) % 3 == 1;
+    }
+
+    /** Ends what has run its time; what was sent into the zone while it is away could not connect. */
+    private static void play(Site site, List<String> open, long lost, long back) {
+        for (String id : List.copyOf(open)) {
+            if (site.engineOf(id) == null) {
+                continue;
+            }
+            boolean ofZone = isOfLostZone(site.engineOf(id));
+            boolean away = ofZone && site.sentAt(id) >= lost && site.sentAt(id) < back;
+            boolean jam = site.now > lost && !ofZone;
+            long runs = away ? 250 * MS : (site.classOf(id) == 1 ? 600 : 150) * MS * (jam ? 4 : 1);
+            if (site.now - site.sentAt(id) >= runs && away) {
+                site.answer(id, Gateway.Result.CONNECT_FAILED);
+            } else if (site.now - site.sentAt(id) >= runs) {
+                open.remove(id);
+                site.answer(id, Gateway.Result.OK, jam ? new double[] {1, 9, 1} : new double[] {0.3, 0, 0.2});
+            }
+        }
+    }
+
+    /**
+     * A zone is out of reach for 5 s while the others are jammed, and is back before the list has told anything. The
+     * most work that all gateways send to one engine of it in the span in which it may fall, over what fells it.
+     */
+    private static double mostSentToOneThatIsBack() {
+        List<Site> sites = sitesOfThirtyEngines();
+        long lost = sites.get(0).now + 5 * S;
+        long back = lost + 5 * S;
+        Map<String, List<Sent>> sent = new HashMap<>();
+        List<List<String>> open = new ArrayList<>();
+        sites.forEach(x -> open.add(new ArrayList<>()));
+        for (long turn = 0; turn < 13 * S / TURN; turn++) {
+            for (int g = 0; g < GATEWAYS; g++) {
+                Site site = sites.get(g);
+                if ((turn + g) % 4 == 0) { // 25 a second; one in six is heavy
+                    open.get(g).add(site.take((turn / 4 + g) % 6 == 0 ? 1 : 0));
+                }
+                site.pass(TURN);
+                for (String id : open.get(g)) {
+                    String e = site.engineOf(id);
+                    if (e != null && sentNow(site, id) && isOfLostZone(e) && site.sentAt(id) >= back) {
+                        sent.computeIfAbsent(e, x -> new ArrayList<>())
+                                .add(new Sent(site.sentAt(id), site.classOf(id)));
+                    }
+                }
+                play(site, open.get(g), lost, back);
+            }
+        }
+        double[] work = {150 * MS, 1800 * MS};
+        Gateway.Rules rules = sites.get(0).settings.rules();
+        double most = 0;
+        for (List<Sent> list : sent.values()) {
+            for (Sent from : list) {
+                double inSpan = list.stream().filter(x -> x.at() >= from.at() && x.at() < from.at() + rules.fallUs())
+                        .mapToDouble(x -> work[x.cls()]).sum();
+                double able = 8 * (rules.coldFrom() + (1 - rules.coldFrom()) * (from.at() - back) / rules.coldUs());
+                most = Math.max(most, inSpan / (rules.fallMultiple() * able * rules.fallUs()));
+            }
+        }
+        return most;
+    }
+
+    /** Guards against all gateways filling at once what they take for warm, since nobody told them that it started. */
+    @Test
+    void whatWasOutOfReachIsNotPushedOverWhenItIsBack() {
+        double most = mostSentToOneThatIsBack();
+        assertTrue(most > 0 && most < 1, "sent " + most + " of what fells it");
+    }
 }
--- a/gateway/src/test/java/sandpaddle/story/ScriptedEngine.java
+++ b/gateway/src/test/java/sandpaddle/story/ScriptedEngine.java
@@ -31,6 +31,7 @@
     }
 
     private final ServerSocket listening;
+    private final Thread accepting;
     private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private volatile Function<Call, String> script;
@@ -39,13 +40,14 @@
     ScriptedEngine(Function<Call, String> script) throws IOException {
         this.script = script;
         listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        daemon(this::accept);
+        accepting = daemon(this::accept);
     }
 
-    static void daemon(Runnable task) {
+    static Thread daemon(Runnable task) {
         Thread t = new Thread(task);
         t.setDaemon(true);
         t.start();
+        return t;
     }
 
     static String answer(int status, String headers, String body) {
@@ -139,9 +141,15 @@
         return line.toString().strip();
     }
 
+    /** The kernel goes on accepting until the thread in accept has left it: it is waited for. */
     @Override
     public void close() throws IOException {
         listening.close();
+        try {
+            accepting.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket s : sockets) {
             s.close();
         }
