--- a/gateway/src/main/java/sandpaddle/config/Config.java
+++ b/gateway/src/main/java/sandpaddle/config/Config.java
@@ -63,7 +63,7 @@
         try {
             return SettingsReader.read(settings);
         } catch (IllegalArgumentException e) {
-            throw new FieldException("field 'settings': " + e.getMessage());
+            throw new FieldException(e.getMessage());
         }
     }
 
--- a/gateway/src/main/java/sandpaddle/decide/Gateway.java
+++ b/gateway/src/main/java/sandpaddle/decide/Gateway.java
@@ -89,25 +89,37 @@
             List<Field> reportFields, boolean reportsInAnswers, Limits limits, Rules rules, Terms terms,
             Charges charges) {
 
+        /** @throws IllegalArgumentException naming the first setting that nothing could be decided by */
         public Settings {
-            need(gateways >= 1, "gateways");
-            need(!classes.isEmpty(), "classes");
-            for (RequestClass c : classes) {
-                need(c.aimUs() > 0 && c.limitUs() > 0 && c.threads() >= 1, "class aim, limit or threads");
-                need(Double.isFinite(c.worth()) && c.worth() >= 0, "class worth");
+            need(gateways >= 1, "balancers", "is under 1");
+            need(me >= 0 && me < gateways, "me", "is no number of a gateway");
+            need(!classes.isEmpty(), "classes", "is empty");
+            for (int i = 0; i < classes.size(); i++) {
+                RequestClass c = classes.get(i);
+                String path = "classes[" + i + "].";
+                need(c.aimUs() > 0, path + "aim_us", "is not above 0");
+                need(c.limitUs() > 0, path + "hard_limit_us", "is not above 0");
+                need(c.aimStretch() >= 0 && Double.isFinite(c.aimStretch()), path + "aim_stretch", "is under 0");
+                need(c.worth() >= 0 && Double.isFinite(c.worth()), path + "value", "is under 0");
+                need(c.threads() >= 1, "specifics.class_threads[" + i + "]", "is under 1");
             }
-            need(limits.maxAttempts() >= 1, "max attempts");
-            need(rules.coldFrom() > 0 && rules.coldFrom() <= 1 && rules.coldUs() >= 0 && rules.fallUs() >= 0,
-                    "cold start");
-            need(rules.fallMultiple() > 0, "fall multiple");
-            need(rules.drainGraceUs() >= 0, "drain grace");
-            need(rules.budgetSpanUs() >= 0 && rules.budgetFree() >= 0 && rules.budgetShare() >= 0, "budget");
-            need(charges.probe() >= 0, "charges");
+            need(limits.maxAttempts() >= 1, "bounds.max_attempts", "is under 1");
+            need(limits.maxHeld() >= 1, "bounds.most_held", "is under 1");
+            need(limits.maxRetryAfterUs() >= 0, "bounds.max_retry_after_us", "is under 0");
+            need(rules.coldFrom() > 0 && rules.coldFrom() <= 1, "rules.cold_from", "is not above 0 and up to 1");
+            need(rules.coldUs() >= 0, "rules.cold_us", "is under 0");
+            need(rules.fallUs() >= 0, "rules.fall_us", "is under 0");
+            need(rules.fallMultiple() > 0, "rules.tip_multiple", "is not above 0");
+            need(rules.drainGraceUs() >= 0, "rules.drain_grace_us", "is under 0");
+            need(rules.budgetSpanUs() >= 0, "rules.budget_span_us", "is under 0");
+            need(rules.budgetFree() >= 0 && rules.budgetShare() >= 0, "rules.extra_share", "is under 0");
+            need(terms.progressUs() >= 0, "specifics.progress_us", "is under 0");
+            need(charges.probe() >= 0, "charges.probe", "is under 0");
         }
 
-        private static void need(boolean holds, String setting) {
+        private static void need(boolean holds, String key, String fault) {
             if (!holds) {
-                throw new IllegalArgumentException("impossible setting: " + setting);
+                throw new IllegalArgumentException("field 'settings." + key + "' " + fault);
             }
         }
     }
