--- a/gateway/src/main/java/sandpaddle/config/SettingsReader.java
+++ b/gateway/src/main/java/sandpaddle/config/SettingsReader.java
@@ -62,7 +62,8 @@
     }
 
     private static Gateway.Limits limits(Row b) throws FieldException {
-        return new Gateway.Limits(b.flag("cancel"), b.flag("may_probe"), b.flag("retry_after"), b.flag("second_copies"), (int) b.integer("max_attempts"), (int) b.integer("most_held"),
+        return new Gateway.Limits(b.flag("cancel"), b.flag("may_probe"), b.flag("retry_after"),
+                b.flag("second_copies"), (int) b.integer("max_attempts"), (int) b.integer("most_held"),
                 b.integerOr("max_retry_after_us", 0), b.integerOr("connect_timeout_us", 0));
     }
 
