Declines of later calls no longer prove that a query never ran: once-only work ran twice

Cause: engines decline a new connection with 503 and X-Declined when all theirs are taken. Attempt.heard (Attempt.java, the branches for 503 and 504) took that for the query's end also when it answered a GET, which mostly goes out on a new connection because the answer to the POST got lost. Such an attempt ended as "never ran" and the module sent the query on.

Ruled out by reading, against PROTOCOL: refused and timed-out connects (nothing written), partly written POSTs (tried counts as sent), time-outs, cancels, resets (never claimed), the door and storm (never after a send).

Change: Verdict is the one place that reads an answer; only the answer to the POST proves "never ran". A declined GET on a new connection is asked again, until the engine has dropped the query. A declined DELETE was not read and is made again. A decline ends its connection.

--- a/gateway/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import sandpaddle.log.LogEvent;
 import sandpaddle.net.Loop;
 import sandpaddle.net.Timers;
 import sandpaddle.query.AttemptEnd;
@@ -17,11 +18,6 @@
  */
 final class Attempt implements EngineSide.Running {
     static final String STATS = "x-stats";
-    private static final int OK = 200;
-    private static final int NOT_YET = 202;
-    private static final int ERROR = 500;
-    private static final int FULL = 503;
-    private static final int OVER = 504;
     private static final int MOST_PAGES = 64;
     private static final int MOST_BYTES = 64 * 1024; // a result has 48,000 bytes at most
     /** An engine answers a poll after 250 ms, and gives up a query not asked for in 2 s. */
@@ -102,6 +98,7 @@
     private void call(EngineConnection c, byte[] request, int page) {
         connection = c;
         askedAt = loop.now();
+        boolean firstOfConnection = !c.wasUsed();
         reachedAt = reachedAt == null ? loop.now() : reachedAt;
         c.call(request, SILENT, new EngineConnection.Call() {
             @Override
@@ -110,8 +107,7 @@
                 kept = same;
                 outOfReach = false;
                 if (phase == Phase.OUT) {
-                    breaks = 0;
-                    heard(r, page);
+                    heard(r, page, firstOfConnection);
                 }
                 if (phase != Phase.OUT) {
                     release();
@@ -121,6 +117,13 @@
             @Override
             public void failed(EngineConnection.Failure how, String why, boolean maybeSent) {
                 connection = null;
+                if (LogEvent.isDebugOn()) {
+                    line("no answer", page).with("how", how.name()).with("why", why)
+                            .with("maybe_sent", String.valueOf(maybeSent)).debug();
+                }
+                if (firstOfConnection) { // a machine that is cut off lets none come up
+                    reachedAt = askedAt;
+                }
                 if (phase == Phase.OUT) {
                     broke(how, why, maybeSent, page);
                 }
@@ -137,7 +140,7 @@
         if (!maybeSent && !everSent) {
             end(new AttemptEnd.NotConnected(why));
         } else if (how == EngineConnection.Failure.MALFORMED) {
-            taken = true;
+            taken |= !everSent; // an answer to the POST: it has been read
             spoilt(why, page);
         } else if (how == EngineConnection.Failure.BROKEN && ++breaks > MOST_BREAKS) {
             giveUp(new AttemptEnd.Broken(why), false);
@@ -159,10 +162,7 @@
             giveUp(new AttemptEnd.Errored(why, stats), false);
             return;
         }
-        if (kept != null) {
-            kept.abandon(); // what else it brings is not to be trusted
-            kept = null;
-        }
+        dropKept(); // what else it brings is not to be trusted
         askAgain(page);
     }
 
@@ -174,30 +174,44 @@
     }
 
     private void askAgain(int page) {
-        pool.connect(new EnginePool.Waiter() {
-            @Override
-            public void up(EngineConnection c) {
-                reachedAt = loop.now();
-                asked(c, page);
+        pool.connect(new Asker(page));
+    }
+
+    /** Who waits for a connection to ask on. */
+    private final class Asker implements EnginePool.Waiter {
+        private final int page;
+
+        Asker(int page) {
+            this.page = page;
+        }
+
+        @Override
+        public void up(EngineConnection c) {
+            asked(c, page);
+        }
+
+        @Override
+        public void down(EnginePool.Down how, String why) {
+            if (phase == Phase.OUT) {
+                laterAgain(page, how, why);
             }
+        }
+    }
 
-            @Override
-            public void down(EnginePool.Down how, String why) {
-                if (phase != Phase.OUT) {
-                    return;
-                }
-                boolean died = how == EnginePool.Down.REFUSED && brokeOff; // else it may be short of connections
-                boolean dropped = how != EnginePool.Down.NO_ROOM && reachedAt.plus(DROPPED).isBefore(loop.now());
-                if (died || dropped) {
-                    end(new AttemptEnd.Broken(why));
-                } else {
-                    tellOutOfReach(how);
-                    loop.after(AGAIN, () -> {
-                        if (phase == Phase.OUT) {
-                            askAgain(page);
-                        }
-                    });
-                }
+    /** Asks once more a little later, unless the engine has died or has dropped the query by now. */
+    private void laterAgain(int page, EnginePool.Down how, String why) {
+        boolean died = how == EnginePool.Down.REFUSED && brokeOff; // else it may be short of connections
+        boolean dropped = reachedAt.plus(DROPPED).isBefore(loop.now());
+        if (died || dropped) {
+            end(new AttemptEnd.Broken(why));
+            return;
+        }
+        tellOutOfReach(how);
+        loop.after(AGAIN, () -> {
+            if (phase == Phase.OUT && how == EnginePool.Down.NO_ROOM) {
+                pool.acquire(new Asker(page)); // one that is idle serves as well
+            } else if (phase == Phase.OUT) {
+                askAgain(page);
             }
         });
     }
@@ -218,27 +232,54 @@
         }
     }
 
-    private void heard(Response r, int page) {
+    private LogEvent line(String step, int page) {
+        return LogEvent.of(step).trace(order.trace()).with("engine", engine)
+                .with("call", everSent ? "GET " + page : "POST").with("taken", String.valueOf(taken));
+    }
+
+    /** What the answer proves is {@link Verdict}'s to say. */
+    private void heard(Response r, int page, boolean firstOfConnection) {
+        Verdict verdict = Verdict.of(r, new Verdict.Asked(!everSent, page, firstOfConnection, taken, asksAgain));
+        if (LogEvent.isDebugOn()) {
+            line("answered", page).with("status", r.status()).with("new", String.valueOf(firstOfConnection))
+                    .with("verdict", verdict.name()).debug();
+        }
         everSent = true;
-        taken |= r.status() == NOT_YET || r.status() == OK;
-        reachedAt = loop.now();
         stats = r.header(STATS) != null ? r.header(STATS) : stats;
-        boolean declined = "1".equals(r.header("x-declined"));
-        if (r.status() == OK) {
-            page(r, page);
-        } else if (r.status() == NOT_YET && page == 0) {
-            note(r);
-            pace(r.header("x-result") != null);
-        } else if (r.status() == FULL && declined) {
-            end(new AttemptEnd.Declined(stats));
-        } else if (r.status() == OVER && declined) {
-            end(new AttemptEnd.Lapsed(stats));
-        } else if (r.status() == ERROR && (taken || !asksAgain)) {
-            end(new AttemptEnd.Errored("status " + r.status(), stats));
-        } else if (r.status() != ERROR) { // no answer of the protocol
-            spoilt("status " + r.status(), page);
-        } else { // the POST may yet be read, or this is no answer of the protocol: the query may run
-            giveUp(new AttemptEnd.Errored("status " + r.status(), stats), false);
+        if (verdict != Verdict.TABLE_FULL) { // nobody has looked at the query
+            breaks = 0;
+            reachedAt = loop.now();
+        }
+        taken |= verdict == Verdict.RESULT || verdict == Verdict.NEWS;
+        switch (verdict) {
+            case RESULT -> page(r, page);
+            case NEWS -> {
+                note(r);
+                pace(r.header("x-result") != null);
+            }
+            case DECLINED -> declined(new AttemptEnd.Declined(stats));
+            case LAPSED -> declined(new AttemptEnd.Lapsed(stats));
+            case TABLE_FULL -> {
+                dropKept();
+                asksAgain = true;
+                laterAgain(page, EnginePool.Down.NO_ROOM, "its connections are all taken");
+            }
+            case FAILED -> end(new AttemptEnd.Errored("status " + r.status(), stats));
+            case UNCERTAIN -> giveUp(new AttemptEnd.Errored("status " + r.status(), stats), false);
+            default -> spoilt("status " + r.status(), page);
+        }
+    }
+
+    /** Its connection is not used again: a late copy of this answer must not be read as the answer to another POST. */
+    private void declined(AttemptEnd how) {
+        dropKept();
+        end(how);
+    }
+
+    private void dropKept() {
+        if (kept != null) {
+            kept.abandon();
+            kept = null;
         }
     }
 
--- a/gateway/src/main/java/sandpaddle/http/EngineConnection.java
+++ b/gateway/src/main/java/sandpaddle/http/EngineConnection.java
@@ -31,7 +31,7 @@
     private Connection connection;
     private Call call;
     private Timers.Timer bound;
-    private boolean ended;
+    private boolean ended, used;
     private Instant upAt;
 
     EngineConnection(Loop loop, EnginePool pool) {
@@ -50,6 +50,11 @@
         return !upAt.isBefore(from);
     }
 
+    /** Whether a call was made on it before. */
+    boolean wasUsed() {
+        return used;
+    }
+
     boolean isStale() {
         return ended || connection.isStale();
     }
@@ -57,6 +62,7 @@
     /** Begins a call; without an answer within a time the connection is given up. */
     void call(byte[] request, Duration most, Call next) {
         call = next;
+        used = true;
         connection.clearStartedSending();
         bound = loop.after(most, () -> fail(Failure.SILENT, "no answer in " + most.toMillis() + " ms"));
         connection.write(request);
--- a/gateway/src/main/java/sandpaddle/http/SideCall.java
+++ b/gateway/src/main/java/sandpaddle/http/SideCall.java
@@ -85,12 +85,21 @@
         });
     }
 
+    /** Guards against an engine whose connections are all taken: it declines a new one without reading the call. */
     @Override
     public void answered(Response response, EngineConnection kept) {
-        if (kept != null) {
+        writing++;
+        boolean read = !Verdict.isDeclined(response);
+        if (kept != null && read) {
             pool.release(kept);
+        } else if (kept != null) {
+            kept.abandon();
+        }
+        if (read || told == null) {
+            end();
+        } else {
+            again(OUT_OF_REACH);
         }
-        end();
     }
 
     @Override
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/http/AttemptStage.java
@@ -0,0 +1,167 @@
+package sandpaddle.http;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import sandpaddle.net.Loop;
+import sandpaddle.query.AttemptEnd;
+import sandpaddle.query.AttemptOrder;
+import sandpaddle.query.EngineSide;
+
+/** Attempts on an engine whose every byte the test plays: the clock is the test's, the sockets are real. */
+abstract class AttemptStage {
+    static final String OK = "HTTP/1.1 200 -\r\nResult-Pages: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\n";
+    static final String DECLINED = "HTTP/1.1 503 -\r\nX-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+    static final String DELETED = "HTTP/1.1 204 -\r\n\r\n";
+
+    static final class Hand extends Clock {
+        Instant now = Instant.parse("2026-01-01T00:00:00Z");
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public Instant instant() {
+            return now;
+        }
+    }
+
+    static final class Heard implements EngineSide.Listener {
+        final List<AttemptEnd> ends = new ArrayList<>();
+        int timesOutOfReach;
+
+        @Override
+        public void note(String topic, double value) {
+        }
+
+        @Override
+        public void outOfReach() {
+            timesOutOfReach++;
+        }
+
+        @Override
+        public void ended(AttemptEnd end) {
+            ends.add(end);
+        }
+    }
+
+    final Hand clock = new Hand();
+    final List<SocketChannel> accepted = new ArrayList<>();
+    final StringBuilder read = new StringBuilder();
+    ServerSocketChannel listening;
+    Loop loop;
+    Engines engines;
+    int traces;
+
+    @BeforeMethod
+    public void listen() throws IOException {
+        accepted.clear();
+        read.setLength(0);
+        listening = ServerSocketChannel.open();
+        listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        listening.configureBlocking(false);
+        loop = new Loop(clock);
+        engines = new Engines(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 20);
+        engines.listed("e", (InetSocketAddress) listening.getLocalAddress(), Instant.EPOCH, true, false);
+    }
+
+    @AfterMethod
+    public void close() throws IOException {
+        listening.close();
+        for (SocketChannel c : accepted) {
+            c.close();
+        }
+    }
+
+    static boolean hasEnded(SocketChannel c) {
+        try {
+            return c.read(ByteBuffer.allocate(16)) < 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Turns the loop and plays the engine's kernel until something is so. */
+    void until(BooleanSupplier so) throws IOException {
+        long most = System.nanoTime() + Duration.ofSeconds(5).toNanos();
+        while (!so.getAsBoolean()) {
+            assertTrue(System.nanoTime() < most, "it did not come to that");
+            turn();
+        }
+    }
+
+    void turn() throws IOException {
+        loop.turn(() -> { }, Duration.ofMillis(1));
+        SocketChannel next = listening.isOpen() ? listening.accept() : null;
+        if (next != null) {
+            next.configureBlocking(false);
+            accepted.add(next);
+        }
+        for (SocketChannel c : accepted) {
+            ByteBuffer bytes = ByteBuffer.allocate(4096);
+            if (c.isOpen() && c.read(bytes) > 0) {
+                read.append(StandardCharsets.ISO_8859_1.decode(bytes.flip()));
+            }
+        }
+    }
+
+    /** Lets time pass in steps of 10 ms, with a few turns in each for what the kernel has to tell. */
+    void pass(Duration span) throws IOException {
+        Instant end = clock.now.plus(span);
+        while (clock.now.isBefore(end)) {
+            clock.now = clock.now.plusMillis(10);
+            turn();
+            turn();
+        }
+    }
+
+    EngineSide.Running start(Heard heard) {
+        return start(heard, false);
+    }
+
+    EngineSide.Running start(Heard heard, boolean trial) {
+        String trace = "00000000000000%02d".formatted(traces++);
+        return engines.start("e", new AttemptOrder(trace, "load", new byte[] {'x'}, 0, 1, clock.now.plusSeconds(9),
+                true, trial), heard);
+    }
+
+    int posts() {
+        return calls("POST ");
+    }
+
+    void answer(int connection) throws IOException {
+        answer(connection, OK);
+    }
+
+    void answer(int connection, String bytes) throws IOException {
+        accepted.get(connection).write(StandardCharsets.ISO_8859_1.encode(bytes));
+    }
+
+    /** How many calls that begin so have been read, on all connections. */
+    int calls(String begin) {
+        return read.toString().split(begin, -1).length - 1;
+    }
+}
