Each gateway meets few engines often: its own order settles ties where handshakes are charged

Cause: a gateway of about a hundred has some five requests a second and drew each engine from all that tie, so most pairs of gateway and engine met less often than idle connections last. Decide.settleTie drew two of all tied engines.

Ruled out: POSTs that found a connection not yet quiet (they wait for it since earlier).

Change: where charges.handshake is set, the first six tied engines in the gateway's own order compete. An order is a hash of the engine turned by the golden ratio times the gateway's number, so all engines are met by about as many gateways. Which engines tie is unchanged. Reports come with answers, so engines that are met often are also known better.

NearEnginesTest fails without it.

--- a/gateway/src/main/java/sandpaddle/config/SettingsReader.java
+++ b/gateway/src/main/java/sandpaddle/config/SettingsReader.java
@@ -64,7 +64,8 @@
     private static Gateway.Limits limits(Row b) throws FieldException {
         return new Gateway.Limits(b.flag("cancel"), b.flag("may_probe"), b.flag("retry_after"),
                 b.flag("second_copies"), (int) b.integer("max_attempts"), (int) b.integer("most_held"),
-                b.integerOr("max_retry_after_us", 0), b.integerOr("connect_timeout_us", 0));
+                b.integerOr("max_retry_after_us", 0), b.integerOr("connect_timeout_us", 0),
+                b.integerOr("conn_idle_us", 0));
     }
 
     private static Gateway.Rules rules(Row r) throws FieldException {
@@ -75,6 +76,6 @@
     }
 
     private static Gateway.Charges charges(Row c) throws FieldException {
-        return new Gateway.Charges(c.numberOr("probe", 0));
+        return new Gateway.Charges(c.numberOr("probe", 0), c.numberOr("handshake", 0));
     }
 }
--- a/gateway/src/main/java/sandpaddle/decide/Decide.java
+++ b/gateway/src/main/java/sandpaddle/decide/Decide.java
@@ -41,6 +41,7 @@
     private static final double USUAL_OF_AIM = 0.3; // before any answer, a class's usual time in its aim
     private static final double GROUP_THREADS = 0.6; // threads a core: what a warm data group outweighs
     private static final double TIE_QUERY = 0.5; // part of a query: loads this close tie
+    private static final int NEAR = 6; // idle engines that compete where handshakes are charged
 
     // Health: an engine is closed, then tried one query at a time.
     private static final double FAIL_CLOSE = 0.3; // share of recent attempts failing: closed
@@ -226,7 +227,16 @@
                 tied.add(e);
             }
         }
-        return settleTie(h, tied);
+        return settleTie(h, near(tied));
+    }
+
+    /**
+     * Where handshakes are charged, few engines are met often, not each of them once: the first at ease in
+     * this gateway's own order. The orders of gateways differ evenly, so that all engines are met alike.
+     */
+    private List<Engine> near(List<Engine> tied) {
+        return s.charges().handshake() == 0 ? tied
+                : tied.stream().sorted(Comparator.comparingDouble(e -> e.near)).limit(NEAR).toList();
     }
 
     /** Where others' sends show late, only two drawn at random compete: all must not follow one view. */
@@ -879,6 +889,7 @@
     private void startOver(Engine e) {
         double cores = e.entry.kind() >= 0 && e.entry.kind() < s.kinds().size()
                 ? s.kinds().get(e.entry.kind()).cores() : 0;
+        e.near = State.order(s.me(), e.id);
         e.cores = cores > 0 ? cores : Math.max(1, e.entry.rating());
         e.bound = BOUND_START * e.cores;
         e.slow = 0;
--- a/gateway/src/main/java/sandpaddle/decide/Gateway.java
+++ b/gateway/src/main/java/sandpaddle/decide/Gateway.java
@@ -67,7 +67,7 @@
 
     /** What the site permits; times in microseconds. */
     record Limits(boolean cancel, boolean probes, boolean retryAfter, boolean secondCopies,
-            int maxAttempts, int maxHeld, long maxRetryAfterUs, long connectTimeoutUs) { }
+            int maxAttempts, int maxHeld, long maxRetryAfterUs, long connectTimeoutUs, long connIdleUs) { }
 
     /** Figures of the rules; {@code keyRestUs} and {@code budgetSpanUs} are 0 where that rule is not set. */
     record Rules(long answerSlackUs, long drainGraceUs, long askWithinUs, double coldFrom, long coldUs,
@@ -81,8 +81,8 @@
     record Terms(boolean grants, boolean priorities, double mostGrant, boolean pages, boolean tellsCost,
             long progressUs) { }
 
-    /** What service costs besides: points for a probe a query. */
-    record Charges(double probe) { }
+    /** What service costs besides: points for a probe a query, and for a new connection a query. */
+    record Charges(double probe, double handshake) { }
 
     /** All that a gateway is told at start; {@code subscribe}: lists come only when asked for. */
     record Settings(int gateways, int me, int zone, boolean subscribe, List<RequestClass> classes, List<Kind> kinds,
@@ -115,6 +115,7 @@
             need(rules.budgetFree() >= 0 && rules.budgetShare() >= 0, "rules.extra_share", "is under 0");
             need(terms.progressUs() >= 0, "specifics.progress_us", "is under 0");
             need(charges.probe() >= 0, "charges.probe", "is under 0");
+            need(charges.handshake() >= 0, "charges.handshake", "is under 0");
         }
 
         private static void need(boolean holds, String key, String fault) {
--- a/gateway/src/main/java/sandpaddle/decide/State.java
+++ b/gateway/src/main/java/sandpaddle/decide/State.java
@@ -70,6 +70,11 @@
         return ((x ^ (x >>> 29)) >>> 11) * 0x1.0p-53;
     }
 
+    /** In [0, 1): an engine's place at a gateway. Those of many gateways lie evenly apart, by the golden ratio. */
+    static double order(int gateway, String engine) {
+        return (hash(0, engine) + gateway * 0.6180339887498949) % 1;
+    }
+
     static final class Engine {
         final String id;
         EngineEntry entry;
@@ -83,6 +88,7 @@
         boolean isLine;
         final LinkedHashMap<String, Attempt> out = new LinkedHashMap<>();
         final List<Attempt> lost = new ArrayList<>(); // a room's that timed out since its last answer
+        double near; // in [0, 1): its place in this gateway's own order of engines
         double[] report;
         double scarcest; // share in use of its scarcest reported resource
         double waiting; // queries in its line for memory, as reported
--- a/gateway/src/main/java/sandpaddle/serve/QueryLog.java
+++ b/gateway/src/main/java/sandpaddle/serve/QueryLog.java
@@ -41,8 +41,10 @@
 
     static void ended(Exchange x, int attempt, String engine, AttemptEnd end, Duration elapsed) {
         if (LogEvent.isDebugOn()) {
-            line(x, "attempt ended").with("attempt", attempt).with("engine", engine)
-                    .with("end", end.getClass().getSimpleName()).with("ms", elapsed.toMillis()).debug();
+            LogEvent e = line(x, "attempt ended").with("attempt", attempt).with("engine", engine)
+                    .with("end", end.getClass().getSimpleName()).with("ms", elapsed.toMillis());
+            String report = Ends.stats(end);
+            (report == null ? e : e.with("report", report)).debug();
         }
     }
 
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/decide/NearEnginesTest.java
@@ -0,0 +1,74 @@
+package sandpaddle.decide;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static sandpaddle.decide.Site.MS;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** New connections of many gateways add up: each meets few engines often, and together they meet all alike. */
+class NearEnginesTest {
+    private static final int ENGINES = 40;
+    private static final int GATEWAYS = 100;
+
+    private static Site gateway(int me, double handshake) {
+        Site.Spec spec = new Site.Spec();
+        spec.gateways = GATEWAYS;
+        spec.me = me;
+        spec.handshake = handshake;
+        spec.fields = List.of(Gateway.Field.UTIL, Gateway.Field.QUEUE, Gateway.Field.MEMORY);
+        Site site = new Site(spec);
+        for (int e = 0; e < ENGINES; e++) {
+            site.list(Gateway.ListKind.CHANGES, Site.engine("e" + e));
+        }
+        return site;
+    }
+
+    /** The engines that queries one after the other, with few out at a time, are sent to. */
+    private static Set<String> met(Site site, int queries, int atOnce) {
+        Set<String> met = new HashSet<>();
+        for (int i = 0; i < queries; i += atOnce) {
+            List<String> ids = IntStream.range(0, atOnce).mapToObj(k -> site.take(0)).toList();
+            ids.forEach(id -> met.add(site.engineOf(id)));
+            site.pass(300 * MS);
+            ids.forEach(id -> site.answer(id, Gateway.Result.OK));
+        }
+        return met;
+    }
+
+    @Test
+    void whereHandshakesAreChargedFewEnginesAreMetOften() {
+        assertTrue(met(gateway(3, 0.05), 120, 1).size() <= 6);
+        assertTrue(met(gateway(3, 0.05), 120, 3).size() <= 8, "those that are busy make room for the next");
+        assertTrue(met(gateway(3, 0), 120, 1).size() > 30, "without a charge there is no reason to");
+    }
+
+    @Test
+    void anEngineThatLeavesIsReplacedByTheNextOne() {
+        Site site = gateway(3, 0.05);
+        Set<String> before = met(site, 60, 1);
+        String left = before.iterator().next();
+        site.list(Gateway.ListKind.CHANGES, Site.engine(left, 0, 0, 0, Gateway.Status.GONE, 0));
+        Set<String> after = met(site, 60, 1);
+        before.remove(left);
+        assertTrue(after.containsAll(before) && after.size() == before.size() + 1, before + " and then " + after);
+    }
+
+    /** Guards the engines: were all gateways' first ones the same, few would bear all and the others nothing. */
+    @Test
+    void allGatewaysTogetherMeetAllEnginesAlike() {
+        Map<String, Integer> gateways = new HashMap<>();
+        for (int me = 0; me < GATEWAYS; me++) {
+            met(gateway(me, 0.05), 60, 1).forEach(e -> gateways.merge(e, 1, Integer::sum));
+        }
+        int equal = GATEWAYS * 6 / ENGINES;
+        assertEquals(gateways.size(), ENGINES);
+        assertTrue(gateways.values().stream().allMatch(n -> n >= equal / 2 && n <= 2 * equal), gateways.toString());
+    }
+}
--- a/gateway/src/test/java/sandpaddle/decide/Site.java
+++ b/gateway/src/test/java/sandpaddle/decide/Site.java
@@ -28,6 +28,7 @@
         int gateways = 2;
         int me;
         long seed = 7;
+        double handshake;
         int maxAttempts = 4;
         List<Gateway.Field> fields = List.of(Gateway.Field.INFLIGHT, Gateway.Field.UTIL);
         boolean reportsInAnswers = true;
@@ -39,11 +40,11 @@
                     3, false, false, kinds, zones);
             return new Gateway.Settings(gateways, me, 0, false, List.of(quick, heavy),
                     List.of(new Gateway.Kind(8, 16384), new Gateway.Kind(16, 32768)), fields, reportsInAnswers,
-                    new Gateway.Limits(cancel, probes, true, false, maxAttempts, 20000, S, 250 * MS),
+                    new Gateway.Limits(cancel, probes, true, false, maxAttempts, 20000, S, 250 * MS, 15 * S),
                     new Gateway.Rules(20 * MS, 500 * MS, 10 * S, 0.3, 13 * S, 2.5, 1500 * MS, keyRestUs, budgetSpanUs,
                             2, 0.2),
                     new Gateway.Terms(grants, priorities, 0.4, true, false, progressUs),
-                    new Gateway.Charges(0.01));
+                    new Gateway.Charges(0.01, handshake));
         }
     }
 
--- a/gateway/src/test/java/sandpaddle/storm/StormSite.java
+++ b/gateway/src/test/java/sandpaddle/storm/StormSite.java
@@ -10,9 +10,9 @@
             cls(3_000_000, 2.5, 25_000_000, 4, 0.4, Gateway.Effect.SAFE, 3),
             cls(4_000_000, 2.5, 20_000_000, 3, 0.6, Gateway.Effect.UNSAFE, 2)),
             List.of(new Gateway.Kind(8, 16_384)), List.of(Gateway.Field.UTIL, Gateway.Field.QUEUE), true,
-            new Gateway.Limits(true, false, true, false, 5, 20_000, 1_000_000, 250_000),
+            new Gateway.Limits(true, false, true, false, 5, 20_000, 1_000_000, 250_000, 15_000_000),
             new Gateway.Rules(20_000, 250_000, 0, 0.3, 15_000_000, 4, 1_000_000, 0, 0, 0, 0),
-            new Gateway.Terms(true, true, 0.4, false, false, 500_000), new Gateway.Charges(0));
+            new Gateway.Terms(true, true, 0.4, false, false, 500_000), new Gateway.Charges(0, 0));
 
     private StormSite() {
     }
