A line of the list or a limit that cannot be used ends neither the start nor the list in use

Read through for what refuses a start or a whole event: a host whose zone, kind or state is not known, or without an address (the event was asked for again for ever), settings without zones, whole numbers written as 5.0, 'me' at or over 'balancers', fewer than 128 descriptors, a list line over 1 MB.

Change: ListEvent tells the faults of single lines; such an engine counts as draining, a whole list of which nothing can be used stands for none. From the feed it is asked for once more, then taken as it is. limits.memory_mb is read; where it or limits.sockets is short, the log says so by its key. Lines of the list up to 4 MB: 4,096 engines with all fields.

--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -27,8 +27,11 @@
     private static final Duration LONGEST_COUNTED = Duration.ofSeconds(3);
     private static final Duration LAST_ANSWERS = Duration.ofMillis(300); // before the kill
     private static final Duration EXIT = Duration.ofMillis(150); // before the kill
+    private static final int MB_BITS = 20;
     private static final int CLIENTS_PART = 3; // clients hold at most this part of the descriptors
     private static final int MORE_CLIENTS = 24; // for those beside the usual ones, and those just going
+    private static final int LEAST_FOR_ENGINES = 16; // half of them are kept back for calls that end others
+    private static final int BESIDE_HEAP_MB = 48; // code, classes, stacks, direct buffers: 30 to 35 seen under load
     private static final int OTHER_DESCRIPTORS = 28; // 13 of the JVM's, the listener, the feeds, a file read anew
 
     private final Loop loop;
@@ -68,7 +71,9 @@
         loop = new Loop(clock);
         int forClients = config.sockets() / CLIENTS_PART + MORE_CLIENTS;
         int forEngines = config.sockets() - forClients - MysqlFrontend.MOST_LEAVING - OTHER_DESCRIPTORS;
-        engines = new Engines(loop, config.connectTimeout(), config.engineIdle(), Math.max(1, forEngines));
+        tellWhatIsShort(forEngines);
+        engines = new Engines(loop, config.connectTimeout(), config.engineIdle(),
+                Math.max(LEAST_FOR_ENGINES, forEngines));
         dispatcher = new Dispatcher(loop, new Decide(config.settings(), config.seed()), config.settings(),
                 config.names(), engines, config.seed());
         dispatcher.storm(operator.storm());
@@ -79,6 +84,19 @@
         Logger.info("{} listens on {}", config.name(), address());
     }
 
+    /** It serves nevertheless: what it may need at most is seldom what it needs. */
+    private void tellWhatIsShort(int forEngines) {
+        if (forEngines < LEAST_FOR_ENGINES) {
+            Logger.warn("field 'limits.sockets' is {}: fewer than {} of them are left for engines", config.sockets(),
+                    LEAST_FOR_ENGINES);
+        }
+        long mostMb = (Runtime.getRuntime().maxMemory() >> MB_BITS) + BESIDE_HEAP_MB;
+        if (config.memoryMb() > 0 && config.memoryMb() < mostMb) {
+            Logger.warn("field 'limits.memory_mb' is {}: with a full heap this process needs {} MB", config.memoryMb(),
+                    mostMb);
+        }
+    }
+
     /** Runs until the end that was asked for. */
     public void run() throws IOException {
         loop.run(this::endOfTurn);
--- a/gateway/src/main/java/sandpaddle/config/Config.java
+++ b/gateway/src/main/java/sandpaddle/config/Config.java
@@ -11,13 +11,12 @@
 import java.util.Map;
 import sandpaddle.decide.Gateway;
 
-/** All that one gateway is told at its start. */
-public record Config(String name, InetSocketAddress listen, long seed, int sockets, InetSocketAddress feed,
-        long knownNumber, List<ListEvent> known, Names names, Gateway.Settings settings, Duration engineIdle,
+/** All that one gateway is told at its start; {@code sockets} and {@code memoryMb} are its limits, the latter 0: none. */
+public record Config(String name, InetSocketAddress listen, long seed, int sockets, long memoryMb,
+        InetSocketAddress feed, long knownNumber, List<ListEvent> known, Names names, Gateway.Settings settings, Duration engineIdle,
         Duration connectTimeout) {
     private static final String FILE = "BALANCER_CONFIG";
     private static final long SOCKETS = 1024;
-    private static final long LEAST_SOCKETS = 128;
     private static final long IDLE_US = 15_000_000;
     private static final long CONNECT_US = 250_000;
     private static final int HEX = 16;
@@ -48,14 +47,16 @@
         long last = events.isEmpty() ? 0 : events.get(events.size() - 1).number();
         Row bounds = settings.row("bounds");
         return new Config(all.has("name") ? all.text("name") : "sandpaddle", Address.read(all, "listen"), seed(all),
-                (int) atLeast(all.rowOr("limits"), "sockets", SOCKETS, LEAST_SOCKETS), Address.read(all, "feed"),
+                (int) atLeast(all.rowOr("limits"), "sockets", SOCKETS, 1),
+                atLeast(all.rowOr("limits"), "memory_mb", 0, 0), Address.read(all, "feed"),
                 known.integerOr("n", last), events, names, checked(settings),
                 span(bounds, "conn_idle_us", IDLE_US), span(bounds, "connect_timeout_us", CONNECT_US));
     }
 
     /** Whether a running gateway can take over all of it: the feed's address and what is known may differ. */
     public boolean onlyFeedDiffersFrom(Config o) {
-        return equals(new Config(o.name, o.listen, o.seed, o.sockets, feed, knownNumber, known, o.names, o.settings,
+        return equals(new Config(o.name, o.listen, o.seed, o.sockets, o.memoryMb, feed, knownNumber, known, o.names,
+                o.settings,
                 o.engineIdle, o.connectTimeout));
     }
 
--- a/gateway/src/main/java/sandpaddle/config/ListEvent.java
+++ b/gateway/src/main/java/sandpaddle/config/ListEvent.java
@@ -6,35 +6,79 @@
 import java.util.Map;
 import sandpaddle.decide.Gateway;
 
-/** A numbered change of the engine list, as the configuration and the control feed hold it. */
-public record ListEvent(long number, boolean whole, List<Host> hosts) {
+/**
+ * A numbered change of the engine list, as the configuration and the control feed hold it. What of it cannot be used
+ * is told by {@code faults}, each naming its field; the rest counts. An engine whose line cannot be used gets nothing
+ * new, as if it drained; a whole list of which no line can be used stands for none.
+ */
+public record ListEvent(long number, boolean whole, List<Host> hosts, List<String> faults) {
     private static final Map<String, Gateway.Status> HEALTH = Map.of("Ready", Gateway.Status.UP, "Terminating",
             Gateway.Status.DRAINING, "Gone", Gateway.Status.GONE);
     private static final long US_IN_MS = 1000;
+    private static final int UNKNOWN = -1;
 
-    /** An engine's line, with where to reach it. */
+    /** An engine's line, with where to reach it; the address may be null for one that is not up. */
     public record Host(Gateway.EngineEntry entry, InetSocketAddress address) { }
 
-    /** An event; one that says nothing of the list has no hosts. */
+    /** An event; one that says nothing of the list has no hosts. Only a missing number makes it none. */
     public static ListEvent read(Row event, Names names) throws FieldException {
         long number = event.integer("n");
         List<Host> hosts = new ArrayList<>();
-        if (!event.has("members")) {
-            return new ListEvent(number, false, hosts);
+        List<String> faults = new ArrayList<>();
+        boolean whole = false;
+        if (event.has("members")) {
+            try {
+                Row members = event.row("members");
+                whole = members.flagOr("whole", false);
+                for (Row h : members.rows("hosts")) {
+                    host(h, names, hosts, faults);
+                }
+            } catch (FieldException e) {
+                faults.add(e.getMessage());
+            }
         }
-        Row members = event.row("members");
-        for (Row h : members.rows("hosts")) {
-            hosts.add(new Host(new Gateway.EngineEntry(h.text("host"), position(h, "site", names.zones()),
-                    position(h, "class", names.kinds()), (int) h.integerOr("block", 0), h.oneOf("health", HEALTH),
-                    h.numberOr("share", 1), h.integerOr("born_ms", 0) * US_IN_MS), Address.read(h, "dial")));
+        return new ListEvent(number, whole && (faults.isEmpty() || !hosts.isEmpty()), hosts, faults);
+    }
+
+    private static void host(Row h, Names names, List<Host> hosts, List<String> faults) {
+        String id;
+        try {
+            id = h.text("host");
+        } catch (FieldException e) {
+            faults.add(e.getMessage());
+            return;
         }
-        return new ListEvent(number, members.flagOr("whole", false), hosts);
+        Gateway.Status status = Gateway.Status.DRAINING;
+        InetSocketAddress address = null;
+        int zone = UNKNOWN;
+        int kind = UNKNOWN;
+        long cell = 0;
+        double rating = 1;
+        long born = 0;
+        try {
+            zone = position(h, "site", names.zones(), faults);
+            kind = position(h, "class", names.kinds(), faults);
+            cell = h.integerOr("block", 0);
+            rating = h.numberOr("share", 1);
+            born = h.integerOr("born_ms", 0);
+            Gateway.Status told = h.oneOf("health", HEALTH);
+            address = told == Gateway.Status.UP || h.has("dial") ? Address.read(h, "dial") : null;
+            status = told;
+        } catch (FieldException e) {
+            faults.add(e.getMessage() + " (engine " + id + ")");
+        }
+        hosts.add(new Host(new Gateway.EngineEntry(id, zone, kind, (int) cell, status, rating, born * US_IN_MS),
+                address));
     }
 
-    private static int position(Row row, String field, List<String> names) throws FieldException {
+    /** A name's place in the settings; one that stands alone there need not be told. */
+    private static int position(Row row, String field, List<String> names, List<String> faults) throws FieldException {
+        if (!row.has(field) && names.size() <= 1) {
+            return names.size() - 1;
+        }
         int i = names.indexOf(row.text(field));
-        if (i < 0) {
-            throw row.wrong(field, "has the unknown value '" + row.text(field) + "'");
+        if (i < 0 && !names.isEmpty()) {
+            faults.add(row.wrong(field, "has the unknown value '" + row.text(field) + "'").getMessage());
         }
         return i;
     }
--- a/gateway/src/main/java/sandpaddle/config/Row.java
+++ b/gateway/src/main/java/sandpaddle/config/Row.java
@@ -58,11 +58,19 @@
     }
 
     public long integer(String field) throws FieldException {
-        return get(field, Long.class, 0L, true);
+        return whole(field, get(field, Number.class, 0L, true));
     }
 
     public long integerOr(String field, long otherwise) throws FieldException {
-        return get(field, Long.class, otherwise, false);
+        return whole(field, get(field, Number.class, otherwise, false));
+    }
+
+    /** A whole number may be written with a fraction of zeros. */
+    private long whole(String field, Number n) throws FieldException {
+        if (n.doubleValue() != n.longValue()) {
+            throw wrong(field, "is no whole number");
+        }
+        return n.longValue();
     }
 
     public double number(String field) throws FieldException {
--- a/gateway/src/main/java/sandpaddle/config/SettingsReader.java
+++ b/gateway/src/main/java/sandpaddle/config/SettingsReader.java
@@ -24,9 +24,9 @@
         for (Object f : report.list("fields")) {
             fields.add(FIELDS.get(String.valueOf(f)));
         }
-        return new Gateway.Settings((int) s.integer("balancers"), (int) s.integer("me"), (int) s.integer("zone"),
-                s.text("discovery").equals("subscribe"), classes(s.rows("classes"), facts),
-                kinds(s.list("models").size(), facts), fields, report.text("how").equals("inline"),
+        return new Gateway.Settings((int) s.integer("balancers"), (int) s.integer("me"),
+                (int) s.integerOr("zone", -1), "subscribe".equals(s.textOr("discovery")), classes(s.rows("classes"), facts),
+                kinds(s.has("models") ? s.list("models").size() : 0, facts), fields, report.text("how").equals("inline"),
                 limits(s.row("bounds")), rules(s.row("rules")),
                 new Gateway.Terms(facts.flagOr("grants_count", false), facts.flagOr("takes_priority", false),
                         facts.numberOr("most_grant", 1), "page".equals(facts.textOr("overbooked")),
--- a/gateway/src/main/java/sandpaddle/decide/Gateway.java
+++ b/gateway/src/main/java/sandpaddle/decide/Gateway.java
@@ -92,7 +92,7 @@
         /** @throws IllegalArgumentException naming the first setting that nothing could be decided by */
         public Settings {
             need(gateways >= 1, "balancers", "is under 1");
-            need(me >= 0 && me < gateways, "me", "is no number of a gateway");
+            need(me >= 0, "me", "is under 0");
             need(!classes.isEmpty(), "classes", "is empty");
             for (int i = 0; i < classes.size(); i++) {
                 RequestClass c = classes.get(i);
--- a/gateway/src/main/java/sandpaddle/feed/Feed.java
+++ b/gateway/src/main/java/sandpaddle/feed/Feed.java
@@ -34,6 +34,7 @@
     private final Consumer<ListEvent> told;
     private InetSocketAddress address;
     private long last;
+    private long doubted; // the last event that was asked for once more, since part of it cannot be used
     private Link link;
     private Link former; // at the address before: heard until the new one has spoken
     private Timers.Timer restart;
@@ -157,7 +158,10 @@
                 return;
             }
             ListEvent event = ListEvent.read(Json.object(line, ""), names);
-            if (apply(event)) {
+            if (!event.faults().isEmpty() && event.number() > doubted) {
+                doubted = event.number(); // spoilt on its way, or so for good: then it comes again as it is
+                end("event " + event.number() + ": " + event.faults().get(0));
+            } else if (apply(event)) {
                 again = AGAIN_FIRST;
             } else {
                 end("event " + event.number() + " came too early");
--- a/gateway/src/main/java/sandpaddle/feed/LineReader.java
+++ b/gateway/src/main/java/sandpaddle/feed/LineReader.java
@@ -5,7 +5,7 @@
 
 /** Cuts a stream of bytes into lines. */
 final class LineReader {
-    static final int MOST_BYTES = 1024 * 1024;
+    static final int MOST_BYTES = 4 * 1024 * 1024; // a list of 4,096 engines with all fields, and long names
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private boolean tooLong;
 
--- a/gateway/src/main/java/sandpaddle/http/Engines.java
+++ b/gateway/src/main/java/sandpaddle/http/Engines.java
@@ -55,8 +55,11 @@
      */
     @Override
     public void listed(String id, InetSocketAddress address, Instant startedAt, boolean up, boolean gone) {
+        if (address == null && !entries.containsKey(id)) {
+            return; // not up, and never was
+        }
         Entry e = entries.computeIfAbsent(id, k -> new Entry());
-        if (e.pool == null || e.pool.isRetired() || !e.pool.address().equals(address)) {
+        if (address != null && (e.pool == null || e.pool.isRetired() || !e.pool.address().equals(address))) {
             if (e.pool != null) {
                 e.pool.retire();
             }
--- a/gateway/src/main/java/sandpaddle/query/EngineSide.java
+++ b/gateway/src/main/java/sandpaddle/query/EngineSide.java
@@ -31,7 +31,10 @@
         void ended(AttemptEnd end);
     }
 
-    /** The list's word on an engine; {@code up}: it may be sent new work, {@code gone}: its process has ended. */
+    /**
+     * The list's word on an engine; {@code up}: it may be sent new work, {@code gone}: its process has ended. The
+     * address may be null where it is not up.
+     */
     void listed(String id, InetSocketAddress address, Instant startedAt, boolean up, boolean gone);
 
     /** A whole list was told: what it lacks is gone. */
--- a/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -33,6 +33,8 @@
     /** Guards the rule of one answer in time, should the module ever say nothing: well inside its slack. */
     private static final Duration OVERDUE = Duration.ofMillis(8);
 
+    private static final int MOST_FAULTS = 8; // lines that one event may cost the log
+
     /** Times its class's limit: what a client may say that it will wait. */
     private static final long PATIENCE_MOST = 2;
 
@@ -77,6 +79,8 @@
 
     /** A change of the engine list; it counts as told from here on. */
     public void listed(ListEvent change) {
+        change.faults().stream().limit(MOST_FAULTS)
+                .forEach(f -> Logger.warn("engine list, event {}: {}", change.number(), f));
         List<Gateway.EngineEntry> entries = new ArrayList<>();
         for (ListEvent.Host h : change.hosts()) {
             Gateway.Status status = h.entry().status();
