A configuration is followed also where SIGHUP was ignored at the start; the program's size tested

Change: where the signal is ignored the log says so and the configuration file is looked at every second: its time, size and identity.

--- a/gateway/src/main/java/sandpaddle/app/ServeCommand.java
+++ b/gateway/src/main/java/sandpaddle/app/ServeCommand.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import org.tinylog.Logger;
 import org.tinylog.configuration.Configuration;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -14,6 +15,7 @@
 import sandpaddle.config.LogSettings;
 import sandpaddle.config.OperatorFile;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** {@code serve}: one real gateway, until SIGTERM. SIGHUP has it read its files again. */
 @Command(name = "serve", mixinStandardHelpOptions = true,
@@ -71,8 +73,11 @@
             Server.OperatorSource source = () -> operator == null ? OperatorFile.NONE : OperatorFile.load(operator);
             OperatorFile file = source.load();
             setUpLog(file.log());
-            Server server = new Server(() -> Config.load(System.getenv()), source, file, Clock.systemUTC());
-            onHangUp(server::reloadConfig);
+            Server server = new Server(new Environment(), source, file, Clock.systemUTC());
+            if (!onHangUp(server::reloadConfig)) {
+                Logger.warn("SIGHUP is ignored here, as after nohup: the configuration is looked at every second");
+                server.watchConfig();
+            }
             Thread main = Thread.currentThread();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 server.end();
@@ -103,8 +108,25 @@
         Configuration.set("level", settings.level().name().toLowerCase(Locale.ROOT));
     }
 
-    /** Guards against the JVM's own answer to SIGHUP, which is to end. The task runs in a thread of the JVM's. */
-    static void onHangUp(Runnable task) {
-        Signal.handle(new Signal("HUP"), signal -> task.run());
+    /** The configuration that the environment names. */
+    private static final class Environment implements Server.ConfigSource {
+        @Override
+        public Config load() throws FieldException {
+            return Config.load(System.getenv());
+        }
+
+        @Override
+        public String version() {
+            return Config.version(System.getenv());
+        }
+    }
+
+    /**
+     * Guards against the JVM's own answer to SIGHUP, which is to end. The task runs in a thread of the JVM's.
+     *
+     * @return whether it will: a JVM that was started with the signal ignored leaves it so
+     */
+    static boolean onHangUp(Runnable task) {
+        return Signal.handle(new Signal("HUP"), signal -> task.run()) != SignalHandler.SIG_IGN;
     }
 }
--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -27,6 +27,7 @@
     private static final Duration LONGEST_COUNTED = Duration.ofSeconds(3);
     private static final Duration LAST_ANSWERS = Duration.ofMillis(300); // before the kill
     private static final Duration EXIT = Duration.ofMillis(150); // before the kill
+    private static final Duration WATCH = Duration.ofSeconds(1);
     private static final int MB_BITS = 20;
     private static final int CLIENTS_PART = 3; // clients hold at most this part of the descriptors
     private static final int MORE_CLIENTS = 24; // for those beside the usual ones, and those just going
@@ -49,6 +50,11 @@
     /** Where the configuration is read, now and again. */
     public interface ConfigSource {
         Config load() throws FieldException;
+
+        /** What differs once the configuration was replaced; empty where that cannot be seen. */
+        default String version() {
+            return "";
+        }
     }
 
     /** Where the operator's file is read, now and again. */
@@ -180,6 +186,19 @@
         }
     }
 
+    /** Before {@link #run}: looks every second whether the configuration was replaced, where no signal can tell. */
+    public void watchConfig() {
+        watch(source.version());
+    }
+
+    private void watch(String seen) {
+        loop.after(WATCH, () -> {
+            String next = source.version();
+            reloadAsked |= !next.isEmpty() && !next.equals(seen);
+            watch(next.isEmpty() ? seen : next);
+        });
+    }
+
     /** From any thread: read the configuration and the operator's file again. */
     public void reloadConfig() {
         reloadAsked = true;
--- a/gateway/src/main/java/sandpaddle/config/Config.java
+++ b/gateway/src/main/java/sandpaddle/config/Config.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
@@ -11,10 +12,10 @@
 import java.util.Map;
 import sandpaddle.decide.Gateway;
 
-/** All that one gateway is told at its start; {@code sockets} and {@code memoryMb} are its limits, the latter 0: none. */
+/** All that one gateway is told at its start; {@code sockets} and {@code memoryMb} are its limits, 0 MB: none told. */
 public record Config(String name, InetSocketAddress listen, long seed, int sockets, long memoryMb,
-        InetSocketAddress feed, long knownNumber, List<ListEvent> known, Names names, Gateway.Settings settings, Duration engineIdle,
-        Duration connectTimeout) {
+        InetSocketAddress feed, long knownNumber, List<ListEvent> known, Names names, Gateway.Settings settings,
+        Duration engineIdle, Duration connectTimeout) {
     private static final String FILE = "BALANCER_CONFIG";
     private static final long SOCKETS = 1024;
     private static final long IDLE_US = 15_000_000;
@@ -35,6 +36,17 @@
         }
     }
 
+    /** What differs when the file that the environment names was replaced; an empty text where it cannot be seen. */
+    public static String version(Map<String, String> environment) {
+        try {
+            BasicFileAttributes a = Files.readAttributes(Path.of(environment.getOrDefault(FILE, "")),
+                    BasicFileAttributes.class);
+            return a.lastModifiedTime() + " " + a.size() + " " + a.fileKey();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     /** Reads the whole configuration from its JSON object. */
     public static Config read(Row all) throws FieldException {
         Row settings = all.row("settings");
--- a/gateway/src/main/java/sandpaddle/config/SettingsReader.java
+++ b/gateway/src/main/java/sandpaddle/config/SettingsReader.java
@@ -25,8 +25,9 @@
             fields.add(FIELDS.get(String.valueOf(f)));
         }
         return new Gateway.Settings((int) s.integer("balancers"), (int) s.integer("me"),
-                (int) s.integerOr("zone", -1), "subscribe".equals(s.textOr("discovery")), classes(s.rows("classes"), facts),
-                kinds(s.has("models") ? s.list("models").size() : 0, facts), fields, report.text("how").equals("inline"),
+                (int) s.integerOr("zone", -1), "subscribe".equals(s.textOr("discovery")),
+                classes(s.rows("classes"), facts), kinds(s.has("models") ? s.list("models").size() : 0, facts), fields,
+                report.text("how").equals("inline"),
                 limits(s.row("bounds")), rules(s.row("rules")),
                 new Gateway.Terms(facts.flagOr("grants_count", false), facts.flagOr("takes_priority", false),
                         facts.numberOr("most_grant", 1), "page".equals(facts.textOr("overbooked")),
--- a/gateway/src/test/java/sandpaddle/app/HangUpTest.java
+++ b/gateway/src/test/java/sandpaddle/app/HangUpTest.java
@@ -12,7 +12,7 @@
     @Test
     public void theSignalRunsTheTaskEachTimeAndTheProcessLives() throws Exception {
         CountDownLatch twice = new CountDownLatch(2);
-        ServeCommand.onHangUp(twice::countDown);
+        assertTrue(ServeCommand.onHangUp(twice::countDown));
         Signal.raise(new Signal("HUP"));
         for (int i = 0; i < 500 && twice.getCount() > 1; i++) { // two at once may count as one
             twice.await(10, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/story/Program.java
@@ -0,0 +1,120 @@
+package sandpaddle.story;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The real program in a process of its own, on the classes under test. */
+final class Program implements AutoCloseable {
+    private static final Pattern LISTENS = Pattern.compile("listens on /([0-9.]+):(\\d+)");
+
+    private final Path folder = Files.createTempDirectory("gateway");
+    private final Path file = folder.resolve("config.json");
+    private final Process process;
+    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+    private final List<String> read = new ArrayList<>();
+    private final InetSocketAddress address;
+
+    /** Starts it and waits until it listens. {@code ignored}: a signal that it is to be started without, or empty. */
+    Program(String config, String ignored, String... flags) throws IOException, InterruptedException {
+        Files.writeString(file, config);
+        List<String> java = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        java.addAll(List.of(flags));
+        java.addAll(List.of("-cp", System.getProperty("java.class.path"), "sandpaddle.app.Main", "serve"));
+        List<String> command = new ArrayList<>(List.of("sh", "-c",
+                (ignored.isEmpty() ? "" : "trap '' " + ignored + "; ") + "exec \"$@\"", "sh"));
+        command.addAll(java);
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        process = builder.start();
+        ScriptedEngine.daemon(this::readLog);
+        Matcher m = LISTENS.matcher(awaitLine("listens on"));
+        if (!m.find()) {
+            throw new IOException("no address in the log: " + read);
+        }
+        address = new InetSocketAddress(m.group(1), Integer.parseInt(m.group(2)));
+    }
+
+    private void readLog() {
+        try (var in = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                log.add(line);
+            }
+        } catch (IOException e) {
+            // it has ended
+        }
+    }
+
+    /** The next line of the log that holds a text; an error where none comes. */
+    String awaitLine(String text) throws InterruptedException {
+        for (String line = log.poll(20, TimeUnit.SECONDS); line != null; line = log.poll(20, TimeUnit.SECONDS)) {
+            read.add(line);
+            if (line.contains(text)) {
+                return line;
+            }
+        }
+        throw new AssertionError("the log never said '" + text + "': " + read);
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Puts another configuration in the place of the one it was started with. */
+    void replaceConfig(String config) throws IOException {
+        Path next = folder.resolve("next.json");
+        Files.writeString(next, config);
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** What the kernel says of it: resident memory (MB). */
+    long residentMb() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(l -> l.startsWith("VmRSS:"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")) / 1024).sum();
+    }
+
+    /** Its open descriptors. */
+    int descriptors() {
+        String[] open = new File("/proc/" + process.pid() + "/fd").list();
+        return open == null ? 0 : open.length;
+    }
+
+    /** A planned end, and how it ended. */
+    int end() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(10, TimeUnit.SECONDS)) {
+            throw new AssertionError("it did not end after SIGTERM");
+        }
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        process.destroyForcibly().waitFor();
+        Files.deleteIfExists(file);
+        Files.deleteIfExists(folder);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/story/ProgramStories.java
@@ -0,0 +1,91 @@
+package sandpaddle.story;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static sandpaddle.story.ScriptedEngine.ok;
+
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The real program, started as in service: its size, its signals. */
+public class ProgramStories {
+    private static final String SQL = "SELECT 1";
+    private static final int MANY = 1024;
+
+    private static String config(int feedPort, String event) {
+        return """
+                {"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",
+                "limits":{"cores":1.0,"memory_mb":144,"sockets":512},"feed":"127.0.0.1:%d",
+                "known":{"events":[%s]},"settings":%s}""".formatted(feedPort, event, Stage.SETTINGS);
+    }
+
+    @DataProvider
+    public Object[][] signals() {
+        return new Object[][] {{""}, {"HUP"}};
+    }
+
+    /** Guards the move of the feed also where SIGHUP was ignored at the start, as nohup has it: nothing would tell. */
+    @Test(dataProvider = "signals")
+    public void aNewConfigurationIsFollowedAlsoWhereTheSignalIsIgnored(String ignored) throws Exception {
+        try (var engine = new ScriptedEngine(c -> ok("1st\t\t\n")); var feed = new ScriptedFeed();
+                var next = new ScriptedFeed();
+                var program = new Program(config(feed.port(), Stage.event(1, true, Stage.host("e", engine, "Ready"))),
+                        ignored)) {
+            assertEquals(feed.accept().subscription(), "SUB 1");
+            program.replaceConfig(config(next.port(), Stage.event(1, true, Stage.host("e", engine, "Ready"))));
+            program.signal("HUP");
+            assertEquals(next.accept().subscription(), "SUB 1");
+            assertTrue(program.isAlive());
+        }
+    }
+
+    /** Ids as long as an operator may make them; all are served by one engine. */
+    private static String hosts(int from, int to, ScriptedEngine engine, String health) {
+        return IntStream.range(from, to).mapToObj(i -> Stage.host("engine-of-the-query-fleet-%08d-%s".formatted(i,
+                "x".repeat(180)), engine, health)).collect(Collectors.joining(","));
+    }
+
+    private static String ofMany(String config) {
+        return config.replace("\"balancers\":1,\"me\":0", "\"balancers\":" + MANY + ",\"me\":" + (MANY - 1))
+                .replace("\"tip_multiple\"", "\"noise\":0,\"tip_multiple\"")
+                .replace("\"report\":", "\"charges\":{\"handshake\":0.05,\"probe\":0.01},\"report\":");
+    }
+
+    /** Nothing caps the gateways told or the engines listed under 1,024, within the limits of a small machine. */
+    @Test
+    public void aThousandGatewaysAndEnginesAreServedWithinTheLimits() throws Exception {
+        try (var first = new ScriptedEngine(c -> ok("1st\t\t\n"));
+                var second = new ScriptedEngine(c -> ok("2nd\t\t\n"));
+                var feed = new ScriptedFeed(); var next = new ScriptedFeed();
+                var program = new Program(ofMany(config(feed.port(), Stage.event(1, true,
+                        hosts(0, MANY, first, "Ready")))), "", "-Xms48m", "-Xmx88m", "-Xss512k",
+                        "-XX:MaxDirectMemorySize=8m", "-XX:MaxMetaspaceSize=32m", "-XX:ReservedCodeCacheSize=24m")) {
+            var link = feed.accept();
+            Client client = Client.ready(program.address());
+            for (int i = 0; i < 200; i++) {
+                assertEquals(client.ask(Stage.fields("lookup", i, 5000) + SQL), "1st||");
+                link.line("1");
+            }
+            link.line(Stage.event(2, false, hosts(0, MANY, first, "Gone")));
+            link.pieces(Stage.event(3, true, hosts(MANY, 2 * MANY, second, "Ready")), 1000);
+            int asked = 1000;
+            while (!client.ask(Stage.fields("lookup", asked++, 5000) + SQL).equals("2nd||")) {
+                link.line("3");
+                assertTrue(asked < 3000, "the new list was never heard");
+            }
+            program.replaceConfig(ofMany(config(next.port(), Stage.event(3, true,
+                    hosts(MANY, 2 * MANY, second, "Ready")))));
+            program.signal("HUP");
+            assertEquals(next.accept().subscription(), "SUB 3");
+            for (int i = 0; i < 200; i++) {
+                assertEquals(client.ask(Stage.fields("lookup", 5000 + i, 5000) + SQL), "2nd||");
+            }
+            assertTrue(program.residentMb() <= 144, program.residentMb() + " MB");
+            assertTrue(program.descriptors() <= 512, program.descriptors() + " descriptors");
+            client.close();
+            assertEquals(program.end(), 143, "as the JVM ends after SIGTERM");
+        }
+    }
+}
--- a/gateway/src/test/java/sandpaddle/story/ScriptedFeed.java
+++ b/gateway/src/test/java/sandpaddle/story/ScriptedFeed.java
@@ -20,6 +20,14 @@
         void line(String text) throws IOException {
             socket.getOutputStream().write((text + "\n").getBytes(StandardCharsets.UTF_8));
         }
+
+        /** A line whose bytes come a few at a time. */
+        void pieces(String text, int bytes) throws IOException {
+            byte[] all = (text + "\n").getBytes(StandardCharsets.UTF_8);
+            for (int i = 0; i < all.length; i += bytes) {
+                socket.getOutputStream().write(all, i, Math.min(bytes, all.length - i));
+            }
+        }
     }
 
     private final ServerSocket listening;
