Clients that have gone are seen before an attempt is written; the planned end loses nothing

Now all is read while a query is open; more than one statement ahead is thrown away, and the session ends with its answer. - Connection.ready read once a turn: a request and its end, both there, were a turn apart. Loop served ready sockets in the order of a hash set: an engine's connection could come up, and its POST be written, before the KILL or the drain that was ready too. Now: the list, clients, the listener, engines; and a client is looked at in the instant before the POST. - The planned end (now PlannedEnd, its states an enum) stopped the process while connections were ending: over unread bytes that is a reset that takes the answer back. It closed resting connections over requests unread, and the listener over connections that waited to be taken; a request half read at the end of the grace was cut. - MysqlFrontend.makeRoom closed a resting client over an unread request; Farewell cut the first of 24 though there was room. - A keyed repeat decided in its window was written after it when its connection came up late (Attempt.post). - SIGHUP before the configuration was read ended the JVM: its handler is now set first. - A second packet that began with the first one's end had the first one's time.

The SIGHUP crossing has no test yet.

--- a/gateway/src/main/java/sandpaddle/app/ServeCommand.java
+++ b/gateway/src/main/java/sandpaddle/app/ServeCommand.java
@@ -69,12 +69,15 @@
 
     @Override
     public Integer call() {
+        HangUp hangUp = new HangUp();
+        boolean heard = onHangUp(hangUp); // first of all: until then the signal ends the process
         try {
             Server.OperatorSource source = () -> operator == null ? OperatorFile.NONE : OperatorFile.load(operator);
             OperatorFile file = source.load();
             setUpLog(file.log());
             Server server = new Server(new Environment(), source, file, Clock.systemUTC());
-            if (!onHangUp(server::reloadConfig)) {
+            hangUp.serves(server::reloadConfig);
+            if (!heard) {
                 Logger.warn("SIGHUP is ignored here, as after nohup: the configuration is looked at every second");
                 server.watchConfig();
             }
@@ -121,6 +124,27 @@
         }
     }
 
+    /** What SIGHUP does; one that comes before there is a server is not forgotten. */
+    private static final class HangUp implements Runnable {
+        private Runnable reload;
+        private boolean came;
+
+        @Override
+        public synchronized void run() {
+            came = true;
+            if (reload != null) {
+                reload.run();
+            }
+        }
+
+        synchronized void serves(Runnable by) {
+            reload = by;
+            if (came) {
+                reload.run();
+            }
+        }
+    }
+
     /**
      * Guards against the JVM's own answer to SIGHUP, which is to end. The task runs in a thread of the JVM's.
      *
--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -23,12 +23,6 @@
 
 /** One gateway: all parts put together, its start and its planned end. */
 public final class Server {
-    /** After the request to end, connections still arrive for 0.4 s and requests for 0.2 s more. */
-    private static final Duration GRACE = Duration.ofMillis(700);
-    /** The kill comes no earlier than the longest deadline after the grace, of which so much counts. */
-    private static final Duration LONGEST_COUNTED = Duration.ofSeconds(3);
-    private static final Duration LAST_ANSWERS = Duration.ofMillis(300); // before the kill
-    private static final Duration EXIT = Duration.ofMillis(150); // before the kill
     private static final Duration WATCH = Duration.ofSeconds(1);
     private static final int MB_BITS = 20;
     private static final int CLIENTS_PART = 3; // clients hold at most this part of the descriptors
@@ -48,7 +42,7 @@
     private final Feed feed;
     private final FleetNode fleet; // null: gateways share nothing
     private volatile boolean endAsked, reloadAsked, aborted;
-    private boolean ending, graceOver;
+    private final PlannedEnd end;
 
     /** Where the configuration is read, now and again. */
     public interface ConfigSource {
@@ -97,6 +91,8 @@
         feed = new Feed(loop, config.feed(), config.names(), config.knownNumber(), dispatcher::listed);
         feed.start();
         frontends = List.of(new MysqlFrontend(loop, config.listen(), dispatcher, forClients, config.seed()));
+        end = new PlannedEnd(loop, dispatcher, engines, frontends, Micros.span(config.settings().classes().stream()
+                .mapToLong(Gateway.RequestClass::limitUs).max().orElse(0)), loop::stop);
         Logger.info("{} listens on {}", config.name(), address());
     }
 
@@ -139,29 +135,10 @@
             reload();
         }
         dispatcher.handOn();
-        if (endAsked && !ending) {
-            ending = true;
-            Logger.info("asked to end");
-            loop.after(GRACE, () -> {
-                graceOver = true;
-                frontends.forEach(Frontend::stopListening);
-            });
-            Duration kill = GRACE.plus(longestCounted());
-            loop.after(kill.minus(LAST_ANSWERS), dispatcher::endAll);
-            loop.after(kill.minus(EXIT), loop::stop);
+        if (endAsked) {
+            end.begin();
         }
-        if (graceOver) {
-            frontends.forEach(Frontend::closeIdle);
-            if (dispatcher.isIdle() && frontends.stream().allMatch(Frontend::isIdle) && engines.isIdle()) {
-                loop.stop();
-            }
-        }
-    }
-
-    private Duration longestCounted() {
-        Duration longest = Micros.span(config.settings().classes().stream()
-                .mapToLong(Gateway.RequestClass::limitUs).max().orElse(0));
-        return longest.compareTo(LONGEST_COUNTED) < 0 ? longest : LONGEST_COUNTED;
+        end.endOfTurn();
     }
 
     /**
--- a/gateway/src/main/java/sandpaddle/decide/Gateway.java
+++ b/gateway/src/main/java/sandpaddle/decide/Gateway.java
@@ -212,8 +212,18 @@
     /** What a gateway does. */
     sealed interface Action { }
 
-    /** Starts an attempt, counted from 0 in order. {@code trial}: the engine may be out of reach. */
-    record Send(String id, String engine, long timeoutUs, boolean trial) implements Action { }
+    /**
+     * Starts an attempt, counted from 0 in order. {@code trial}: the engine may be out of reach. Nothing of it may be
+     * written from {@code latestUs} on, a time of {@link #on}, however late its connection comes up; 0: as long as its
+     * client waits.
+     */
+    record Send(String id, String engine, long timeoutUs, boolean trial, long latestUs) implements Action {
+
+        /** One that may be written as long as its client waits. */
+        public Send(String id, String engine, long timeoutUs, boolean trial) {
+            this(id, engine, timeoutUs, trial, 0);
+        }
+    }
 
     /** Sets priority (0 to 3) and memory (0: the engine's choice) for later sends; priority also for running ones. */
     record SetTerms(String id, int priority, double memoryMb) implements Action { }
--- a/gateway/src/main/java/sandpaddle/decide/Release.java
+++ b/gateway/src/main/java/sandpaddle/decide/Release.java
@@ -70,7 +70,7 @@
             m.out.accept(new SetTerms(h.request.id(), priority, h.grantedMb));
         }
         boolean trial = e.judges(c).stream().anyMatch(j -> j.silent); // what fails answers, and is in reach
-        m.out.accept(new Send(h.request.id(), e.id, timeoutUs(h, a.expectUs()), trial));
+        m.out.accept(new Send(h.request.id(), e.id, timeoutUs(h, a.expectUs()), trial, repeats.latestUs(h)));
     }
 
     /**
--- a/gateway/src/main/java/sandpaddle/decide/Repeats.java
+++ b/gateway/src/main/java/sandpaddle/decide/Repeats.java
@@ -15,6 +15,11 @@
         return h.cls.effect() == Effect.KEYED && m.now < h.ranAt + h.cls.windowUs();
     }
 
+    /** A repeat may be written within its window alone, though its connection may come up later. */
+    long latestUs(Held h) {
+        return harmless(h) ? h.expiresAt : h.ranAt + h.cls.windowUs();
+    }
+
     boolean harmless(Held h) {
         return !h.mayHaveRun || h.cls.effect() == Effect.SAFE;
     }
--- a/gateway/src/main/java/sandpaddle/feed/Feed.java
+++ b/gateway/src/main/java/sandpaddle/feed/Feed.java
@@ -110,7 +110,7 @@
         void open() {
             bound = loop.after(CONNECT, () -> end("no connection"));
             try {
-                connection = Connection.open(loop, address, this);
+                connection = Connection.open(loop, Loop.Rank.LIST, address, this);
             } catch (IOException e) {
                 end(e.toString());
             }
--- a/gateway/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -81,13 +81,15 @@
         }
     }
 
-    /** Guards the drain rule: the list may have changed while the connection came up. */
+    /** Guards against what has become so while the connection came up. */
     private void post(EngineConnection c) {
+        boolean wanted = phase == Phase.CONNECTING && order.wanted().getAsBoolean(); // it may be withdrawn by this
         if (phase != Phase.CONNECTING) {
             pool.release(c);
-        } else if (!engines.isUp(engine)) {
+        } else if (!wanted || !engines.isUp(engine) || !loop.now().isBefore(order.latest())) {
             pool.release(c);
-            end(new AttemptEnd.NotSent("the engine drains"));
+            end(new AttemptEnd.NotSent(!wanted ? "its client has left" : !engines.isUp(engine) ? "the engine drains"
+                    : "too late to be sent"));
         } else {
             phase = Phase.OUT;
             Duration left = Duration.between(loop.now(), order.until());
--- a/gateway/src/main/java/sandpaddle/http/EnginePool.java
+++ b/gateway/src/main/java/sandpaddle/http/EnginePool.java
@@ -140,7 +140,7 @@
         EngineConnection c = new EngineConnection(loop, this);
         Opening opening = new Opening(c, waiter);
         try {
-            opening.connection = Connection.open(loop, address, opening);
+            opening.connection = Connection.open(loop, Loop.Rank.ENGINE, address, opening);
         } catch (IOException e) {
             engines.ended(id);
             waiter.down(kind(e, Down.NO_ROOM), e.toString());
--- a/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -77,6 +78,7 @@
         opening.add(s);
         c.write(Messages.greeting(s.id, random.ints(SCRAMBLE, 1, 128)
                 .collect(java.io.ByteArrayOutputStream::new, (o, b) -> o.write(b), (a, b) -> { }).toByteArray()));
+        c.look(); // a login, a KILL, even a query may have come with it
     }
 
     private static byte[] tooMany(Duration pause) {
@@ -86,19 +88,15 @@
 
     /**
      * Guards clients that ask against those that only hold their connection: the one that has been silent
-     * longest since it was opened goes first, then the one that has rested longest.
+     * longest since it was opened goes first, then the one that has rested longest. Never one with a request.
      */
     private boolean makeRoom() {
-        Session silent = opening.isEmpty() ? null : opening.iterator().next();
-        Session resting = this.resting.isEmpty() ? null : this.resting.iterator().next();
-        if (silent != null && silent.openedAt().plus(SILENT_LEAST).isBefore(loop.now())) {
-            silent.makeRoom();
-        } else if (resting != null && resting.restingSince().plus(REST_LEAST).isBefore(loop.now())) {
-            resting.makeRoom();
-        } else {
-            return false;
-        }
-        return true;
+        Instant silentSince = loop.now().minus(SILENT_LEAST);
+        Instant restingSince = loop.now().minus(REST_LEAST);
+        return List.copyOf(opening).stream().takeWhile(s -> s.openedAt().isBefore(silentSince))
+                .anyMatch(Session::makesRoom)
+                || List.copyOf(resting).stream().takeWhile(s -> s.restingSince().isBefore(restingSince))
+                        .anyMatch(Session::makesRoom);
     }
 
     /** A session has an open query. */
@@ -120,7 +118,7 @@
 
     /** Guards the descriptors against many that are slow to go: then the first of them goes at once. */
     void leaving(Connection c, byte[] words) {
-        if (leaving.size() >= MOST_LEAVING) {
+        if (!leaving.isEmpty() && sessions.size() + leaving.size() >= mostSessions + MOST_LEAVING) {
             leaving.iterator().next().close();
         }
         Farewell[] one = new Farewell[1];
@@ -145,8 +143,9 @@
         }
     }
 
+    /** Those that are ending count too: the end of the process would reset them over what they have not read. */
     @Override
     public boolean isIdle() {
-        return sessions.values().stream().allMatch(Session::isIdle);
+        return leaving.isEmpty() && sessions.values().stream().allMatch(Session::isIdle);
     }
 }
--- a/gateway/src/main/java/sandpaddle/mysql/PacketReader.java
+++ b/gateway/src/main/java/sandpaddle/mysql/PacketReader.java
@@ -8,7 +8,7 @@
     /** The largest payload that is taken: a login at first, then statements, which are some hundred bytes. */
     static final int MOST_LOGIN_BYTES = 4 * 1024;
     static final int MOST_BYTES = 64 * 1024;
-    private static final int HEADER = 4;
+    static final int HEADER = 4;
     private static final int SMALL = 1024;
 
     record Packet(int seq, byte[] payload) { }
--- a/gateway/src/main/java/sandpaddle/mysql/Session.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Session.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
+import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
 import sandpaddle.net.Connection;
 import sandpaddle.net.Loop;
@@ -27,8 +28,10 @@
     private static final Duration FIRST_COMMAND = Duration.ofMillis(2000);
     /** From its first byte, a packet has so long to come whole. */
     private static final Duration WHOLE_PACKET = Duration.ofMillis(1500);
-    /** What a client may send ahead while its query is open, before its writes come to wait. */
-    private static final int AHEAD_MOST = 16 * 1024;
+    /** What a client may send ahead while its query is open: one statement of the largest size. */
+    static final int AHEAD_MOST = PacketReader.MOST_BYTES + PacketReader.HEADER;
+    /** What is thrown away of a client that sent more ahead than that, before it counts as gone. */
+    private static final long THROWN_MOST = 8L * 1024 * 1024;
     /** Answers that a client has not read, before its next command comes to wait. */
     private static final int UNREAD_MOST = 128 * 1024;
 
@@ -42,6 +45,7 @@
     private String user = "";
     private String note = ""; // on the last result
     private boolean loggedIn, asked, handling, ended;
+    private long thrownAway; // of what came ahead of an answer; where any was, the session ends with that answer
     private int open; // the number of the open query, so that a late answer finds nobody
     private QueryService.Ticket ticket;
     private boolean busy;
@@ -54,11 +58,12 @@
         this.connection = connection;
         this.id = id;
         openedAt = loop.now();
-        firstDue = loop.after(FIRST_COMMAND, () -> late("no command came"));
+        firstDue = loop.after(FIRST_COMMAND, () -> late(() -> !asked, "no command came"));
     }
 
+    /** Nothing is open, half said or unsent. */
     boolean isIdle() {
-        return !busy && connection.unsent() == 0;
+        return !busy && connection.unsent() == 0 && packets.buffered() == 0;
     }
 
     Instant openedAt() {
@@ -70,18 +75,39 @@
         return restingSince;
     }
 
-    /** Guards descriptors and memory against clients that say nothing, or never end what they began to say. */
-    private void late(String why) {
-        if (!ended) {
+    /**
+     * Guards descriptors and memory against clients that say nothing, or never end what they began to say. What came
+     * while this turn went on is heard first.
+     */
+    private void late(BooleanSupplier still, String why) {
+        connection.look();
+        if (!ended && still.getAsBoolean()) {
             Logger.debug("session {} ends: {}", id, why);
             end(Messages.error(loggedIn ? 0 : 2, SqlError.ER_NET_READ_INTERRUPTED, why));
         }
     }
 
+    /**
+     * While a query is open all is read, so that the end of a client that no longer waits is seen behind whatever it sent
+     * ahead; what is more than a client may send ahead is thrown away.
+     */
     @Override
     public void received(ByteBuffer bytes) {
-        packets.feed(bytes);
-        handle();
+        if (busy && (thrownAway > 0 || packets.buffered() + bytes.remaining() > AHEAD_MOST)) {
+            thrownAway += bytes.remaining();
+            if (thrownAway > THROWN_MOST) {
+                connection.broken(null);
+            }
+        } else {
+            packets.feed(bytes);
+            handle();
+        }
+    }
+
+    /** Hears what has come from the client by now; whether its query of a number is open still. */
+    private boolean waits(int number) {
+        connection.look();
+        return busy && open == number;
     }
 
     /** Handles what is buffered, up to a query; its answer goes on with the rest. */
@@ -92,6 +118,7 @@
         handling = true;
         try {
             for (PacketReader.Packet p = next(); p != null; p = next()) {
+                whole();
                 packet(p);
             }
         } catch (ProtocolException e) {
@@ -102,23 +129,35 @@
             handling = false;
         }
         if (!ended) {
-            connection.reading(packets.buffered() <= AHEAD_MOST || !busy && !isUnread());
+            connection.reading(busy || !isUnread() || packets.buffered() == 0);
             awaitRest();
         }
     }
 
+    /** A packet is whole: the next one has a time of its own. */
+    private void whole() {
+        if (packetDue != null) {
+            packetDue.cancel();
+            packetDue = null;
+        }
+    }
+
     private void awaitRest() {
         boolean partial = !busy && !isUnread() && packets.buffered() > 0;
         if (partial && packetDue == null) {
-            packetDue = loop.after(WHOLE_PACKET, () -> late("the packet was never finished"));
-        } else if (!partial && packetDue != null) {
-            packetDue.cancel();
-            packetDue = null;
+            packetDue = loop.after(WHOLE_PACKET, this::unfinished);
+        } else if (!partial) {
+            whole();
         }
     }
 
+    private void unfinished() {
+        Timers.Timer mine = packetDue;
+        late(() -> packetDue == mine, "the packet was never finished");
+    }
+
     private PacketReader.Packet next() throws ProtocolException {
-        return busy || ended || isUnread() ? null : packets.next();
+        return busy || ended || isUnread() || thrownAway > 0 ? null : packets.next();
     }
 
     /** Guards memory against a client that asks on and on and reads nothing. */
@@ -138,16 +177,21 @@
         ended = true;
         calm();
         firstDue.cancel();
-        if (packetDue != null) {
-            packetDue.cancel();
-        }
+        whole();
         frontend.ended(this);
     }
 
-    /** Its descriptor is needed for another client. */
-    void makeRoom() {
-        over();
-        connection.close();
+    /**
+     * Its descriptor is needed for another client; whether it gave it. Not one that has asked for something by now: a close
+     * over a request that waits to be read would lose it.
+     */
+    boolean makesRoom() {
+        connection.look();
+        if (!ended && isIdle()) {
+            over();
+            connection.close();
+        }
+        return ended;
     }
 
     private void packet(PacketReader.Packet p) throws ProtocolException {
@@ -222,7 +266,8 @@
             note = "";
             frontend.asks(this);
             int number = ++open;
-            QueryService.Ticket t = frontend.service().submit(ask.query().by(user), a -> answer(number, a));
+            QueryService.Ticket t = frontend.service().submit(ask.query().by(user), () -> waits(number),
+                    a -> answer(number, a));
             ticket = busy && number == open ? t : null;
         }
     }
@@ -245,7 +290,15 @@
         } else if (answer instanceof Answer.Invalid i) {
             send(Messages.error(1, SqlError.ER_PARSE_ERROR, i.why()));
         }
-        if (!ended) {
+        goOn();
+    }
+
+    /** After an answer: the next command, unless what was sent ahead of the answer was too much to keep. */
+    private void goOn() {
+        if (!ended && thrownAway > 0) {
+            end(Messages.error(1, SqlError.ER_NET_PACKET_TOO_LARGE,
+                    "more than " + AHEAD_MOST + " bytes were sent ahead of an answer"));
+        } else if (!ended) {
             rest();
             handle();
         }
@@ -272,10 +325,7 @@
         if (busy) {
             leave();
             send(Messages.error(1, SqlError.ER_QUERY_INTERRUPTED, "Query execution was interrupted"));
-            if (!ended) {
-                rest();
-                handle();
-            }
+            goOn();
         }
     }
 
@@ -323,9 +373,15 @@
         }
     }
 
-    /** Closes a session with no open query; a request that crosses this is sent again by its client. */
+    /**
+     * Closes a session with nothing open. What has come by now is heard first: only a request that crosses the close itself
+     * is sent again by its client.
+     */
     void closeIdle() {
-        end(new byte[0]);
+        connection.look();
+        if (isIdle()) {
+            end(new byte[0]);
+        }
     }
 
     @Override
--- a/gateway/src/main/java/sandpaddle/net/Acceptor.java
+++ b/gateway/src/main/java/sandpaddle/net/Acceptor.java
@@ -44,6 +44,11 @@
         }
     }
 
+    @Override
+    public Loop.Rank rank() {
+        return Loop.Rank.LISTENER;
+    }
+
     /** Guards all that wait behind it against one connection that is reset before it is looked at. */
     private void take(SocketChannel accepted) {
         Connection c;
@@ -70,7 +75,15 @@
         }
     }
 
+    /** Those that were taken by the system before are taken first: a close would reset them. */
     public void close() {
+        try {
+            for (SocketChannel c = channel.accept(); c != null; c = channel.accept()) {
+                take(c);
+            }
+        } catch (IOException e) {
+            Logger.warn("cannot accept: {}", e.toString());
+        }
         try {
             channel.close();
         } catch (IOException e) {
--- a/gateway/src/main/java/sandpaddle/net/Connection.java
+++ b/gateway/src/main/java/sandpaddle/net/Connection.java
@@ -28,7 +28,11 @@
         void closed(Exception cause);
     }
 
+    /** Reads of one connection in a turn, until it has told all: so that one that floods does not keep the others waiting. */
+    private static final int MOST_READS = 4;
+
     private final Loop loop;
+    private final Loop.Rank rank;
     private final SocketChannel channel;
     private final SelectionKey key;
     private final ArrayDeque<ByteBuffer> outbound = new ArrayDeque<>();
@@ -36,8 +40,10 @@
     private boolean reading = true, up, sent, closed, endWhenFlushed, outputEnded;
     private long unsent;
 
-    private Connection(Loop loop, SocketChannel channel, Owner owner, boolean up) throws IOException {
+    private Connection(Loop loop, Loop.Rank rank, SocketChannel channel, Owner owner, boolean up)
+            throws IOException {
         this.loop = loop;
+        this.rank = rank;
         this.channel = channel;
         this.owner = owner;
         this.up = up;
@@ -48,7 +54,7 @@
     /** A connection that was accepted; the owner is set before the first read. */
     static Connection accepted(Loop loop, SocketChannel channel) throws IOException {
         try {
-            return new Connection(loop, channel, null, true);
+            return new Connection(loop, Loop.Rank.CLIENT, channel, null, true);
         } catch (IOException | RuntimeException e) {
             channel.close(); // its client has gone already: the descriptor must not stay
             throw e;
@@ -56,12 +62,13 @@
     }
 
     /** Begins to connect; the owner hears of the end in a later turn, or this throws at once. */
-    public static Connection open(Loop loop, InetSocketAddress address, Owner owner) throws IOException {
+    public static Connection open(Loop loop, Loop.Rank rank, InetSocketAddress address, Owner owner)
+            throws IOException {
         SocketChannel channel = SocketChannel.open();
         try {
             channel.configureBlocking(false);
             channel.connect(address);
-            return new Connection(loop, channel, owner, false);
+            return new Connection(loop, rank, channel, owner, false);
         } catch (IOException | RuntimeException e) {
             channel.close();
             throw e instanceof IOException io ? io : new IOException(e);
@@ -165,12 +172,9 @@
             return;
         }
         if (ready.isReadable() && reading) {
-            ByteBuffer buffer = loop.scratch();
-            int n = channel.read(buffer);
-            if (n > 0) {
-                owner.received(buffer.flip());
-            } else if (n < 0) {
-                broken(null);
+            int most = rank == Loop.Rank.ENGINE ? 1 : MOST_READS;
+            for (int i = 0; i < most && reading && read(loop.scratch()); i++) {
+                continue; // what was written before an end is heard in the turn of the end
             }
         }
         if (!closed && ready.isWritable()) {
@@ -178,6 +182,36 @@
         }
     }
 
+    /** Whether there may be more to read. */
+    private boolean read(ByteBuffer buffer) throws IOException {
+        int n = closed ? 0 : channel.read(buffer);
+        if (n > 0) {
+            owner.received(buffer.flip());
+        } else if (n < 0) {
+            broken(null);
+        }
+        return n > 0;
+    }
+
+    /**
+     * Hears all that the other side has told by now, its end too, without waiting for the next turn: before something is
+     * begun for it, or its connection is closed. Bounded by what the owner takes before it closes or stops reading.
+     */
+    public void look() {
+        try {
+            while (up && reading && read(loop.looked())) {
+                continue;
+            }
+        } catch (IOException e) {
+            broken(e);
+        }
+    }
+
+    @Override
+    public Loop.Rank rank() {
+        return rank;
+    }
+
     @Override
     public void broken(Exception cause) {
         if (!closed) {
--- a/gateway/src/main/java/sandpaddle/net/Farewell.java
+++ b/gateway/src/main/java/sandpaddle/net/Farewell.java
@@ -15,6 +15,7 @@
     private final Runnable ended;
     private final Timers.Timer due;
     private long thrownAway;
+    private boolean over;
 
     private Farewell(Loop loop, Connection connection, Runnable ended) {
         this.connection = connection;
@@ -28,27 +29,35 @@
         connection.owner(f);
         connection.reading(true);
         connection.endWith(words);
+        connection.look();
         return f;
     }
 
-    /** Enough of it: the descriptor is needed. */
+    /** Enough of it: the descriptor is needed, or the time is over. What has come by now is thrown away first. */
     public void close() {
-        due.cancel();
-        connection.close();
-        ended.run();
+        connection.look();
+        finish();
+    }
+
+    private void finish() {
+        if (!over) {
+            over = true;
+            due.cancel();
+            connection.close();
+            ended.run();
+        }
     }
 
     @Override
     public void received(ByteBuffer bytes) {
         thrownAway += bytes.remaining();
         if (thrownAway > MOST_BYTES) {
-            close();
+            finish();
         }
     }
 
     @Override
     public void closed(Exception cause) {
-        due.cancel();
-        ended.run();
+        finish();
     }
 }
--- a/gateway/src/main/java/sandpaddle/net/Loop.java
+++ b/gateway/src/main/java/sandpaddle/net/Loop.java
@@ -8,6 +8,9 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import org.tinylog.Logger;
 
 /**
@@ -15,8 +18,16 @@
  * all of it on. What a turn leaves undone is asked for with {@link #again()}.
  */
 public final class Loop implements Scheduler {
+    /**
+     * The order of what is ready in one turn. What may forbid or end an attempt is heard before a connection to an engine
+     * comes up and carries one, however long the turn took: the engine list, then clients that leave or cancel.
+     */
+    public enum Rank { LIST, CLIENT, LISTENER, ENGINE }
+
     /** What a ready channel calls. */
     public interface Handler {
+        Rank rank();
+
         void ready(SelectionKey key) throws IOException;
 
         /** Called where {@link #ready} threw: the fault stops here, and only this channel ends. */
@@ -24,12 +35,14 @@
     }
 
     private static final int READ_BYTES = 64 * 1024;
+    private static final int LOOK_BYTES = 16 * 1024;
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(1);
 
     private final Selector selector;
     private final UnixClock clock;
     private final Timers timers = new Timers();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(READ_BYTES);
+    private final ByteBuffer looked = ByteBuffer.allocateDirect(LOOK_BYTES);
     private Instant now;
     private boolean again, stopped;
 
@@ -54,6 +67,11 @@
         return scratch.clear();
     }
 
+    /** The same for a look between two reads, while the other buffer may still be in use. */
+    ByteBuffer looked() {
+        return looked.clear();
+    }
+
     SelectionKey register(SelectableChannel channel, int ops, Handler handler) throws IOException {
         channel.configureBlocking(false);
         return channel.register(selector, ops, handler);
@@ -92,21 +110,25 @@
             selector.select((waitUs + 999) / 1000); // rounded up: a timer never runs early
         }
         now = clock.now();
-        for (SelectionKey key : selector.selectedKeys()) {
-            Handler handler = (Handler) key.attachment();
-            if (key.isValid()) {
-                try {
-                    handler.ready(key);
-                } catch (IOException | RuntimeException e) {
-                    broken(handler, e);
-                }
-            }
-        }
+        List<SelectionKey> ready = new ArrayList<>(selector.selectedKeys());
         selector.selectedKeys().clear();
+        ready.sort(Comparator.comparing(key -> ((Handler) key.attachment()).rank()));
+        ready.forEach(Loop::serve);
         guarded(() -> timers.run(now));
         guarded(handOn);
     }
 
+    private static void serve(SelectionKey key) {
+        Handler handler = (Handler) key.attachment();
+        if (key.isValid()) {
+            try {
+                handler.ready(key);
+            } catch (IOException | RuntimeException e) {
+                broken(handler, e);
+            }
+        }
+    }
+
     private static void broken(Handler handler, Exception cause) {
         if (cause instanceof RuntimeException) {
             Logger.error(cause, "a connection failed unexpectedly");
--- a/gateway/src/main/java/sandpaddle/query/QueryService.java
+++ b/gateway/src/main/java/sandpaddle/query/QueryService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** What stands behind every frontend. */
@@ -28,6 +29,14 @@
         return Duration.ZERO;
     }
 
-    /** Takes a query; the answer comes once, in this call or in a later turn of the loop. */
-    Ticket submit(Query query, Consumer<Answer> answer);
+    /** Takes a query of somebody who waits until told otherwise. */
+    default Ticket submit(Query query, Consumer<Answer> answer) {
+        return submit(query, () -> true, answer);
+    }
+
+    /**
+     * Takes a query; the answer comes once, in this call or in a later turn of the loop. {@code waits} is asked in the
+     * instant before an attempt is written: it looks whether the client has left, and where it has, leaves the ticket.
+     */
+    Ticket submit(Query query, BooleanSupplier waits, Consumer<Answer> answer);
 }
--- a/gateway/src/main/java/sandpaddle/serve/Actions.java
+++ b/gateway/src/main/java/sandpaddle/serve/Actions.java
@@ -78,7 +78,7 @@
         }
         int number = x.attempts++;
         Instant now = loop.now();
-        if (x.isOver() || x.out != null || number >= settings.limits().maxAttempts() || !now.isBefore(x.expiresAt)
+        if (!x.isWanted() || x.out != null || number >= settings.limits().maxAttempts() || !now.isBefore(x.expiresAt)
                 || !engines.isUp(a.engine()) || !fleet.begins(x.query, x.cls, a.engine())) {
             outcome(x, number, a.engine(), Gateway.Result.MOOT, Duration.ZERO, null);
             return;
@@ -86,7 +86,8 @@
         Instant until = a.timeoutUs() == 0 ? x.expiresAt : now.plus(Micros.span(a.timeoutUs()));
         boolean last = !until.isBefore(x.expiresAt);
         AttemptOrder order = new AttemptOrder(x.query.trace(), x.query.route(), x.query.statement(), x.memoryMb,
-                x.priority, last ? x.expiresAt : until, last, a.trial());
+                x.priority, last ? x.expiresAt : until, last, a.trial(),
+                a.latestUs() == 0 ? x.expiresAt : earlier(x.expiresAt, Micros.instant(a.latestUs())), x::isWanted);
         door.sent(x);
         QueryLog.sent(x, number, a.engine());
         x.engine = a.engine();
@@ -117,6 +118,10 @@
         x.out = ended[0] ? null : begun;
     }
 
+    private static Instant earlier(Instant a, Instant b) {
+        return a.isBefore(b) ? a : b;
+    }
+
     /** {@code last}: nobody would wait for its withdrawal, see {@link AttemptOrder}. */
     private void ended(Exchange x, int number, String engine, AttemptEnd end, Duration elapsed, boolean last) {
         QueryLog.ended(x, number, engine, end, elapsed);
--- a/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.tinylog.Logger;
@@ -118,7 +119,7 @@
     }
 
     @Override
-    public Ticket submit(Query query, Consumer<Answer> answer) {
+    public Ticket submit(Query query, BooleanSupplier waits, Consumer<Answer> answer) {
         int cls = names.routes().indexOf(query.route());
         if (cls < 0) {
             answer.accept(new Answer.Invalid("unknown route '" + query.route() + "'"));
@@ -135,22 +136,22 @@
         }
         if (named) {
             Duration limit = Micros.span(settings.classes().get(cls).limitUs());
-            return shared.submit(query, door.fingerprint(query, cls), limit, answer, (q, end) -> take(q, cls, end));
+            return shared.submit(query, door.fingerprint(query, cls), limit, answer, (q, end) -> take(q, cls, () -> true, end));
         }
-        return take(query, cls, answer);
+        return take(query, cls, waits, answer);
     }
 
-    private Ticket take(Query query, int cls, Consumer<Answer> answer) {
+    private Ticket take(Query query, int cls, BooleanSupplier waits, Consumer<Answer> answer) {
         if (exchanges.isFull(lookups.size())) {
             answer.accept(new Answer.Refused(door.pauseWithoutRoom()));
             return () -> { };
         }
         int tenant = fleet.taken(cls, query);
-        return lookups.orElse(cls, query, answer, () -> enter(query, cls, tenant, answer));
+        return lookups.orElse(cls, query, answer, () -> enter(query, cls, tenant, waits, answer));
     }
 
-    private Ticket enter(Query query, int cls, int tenant, Consumer<Answer> answer) {
-        Exchange x = exchanges.open(query, cls, answer);
+    private Ticket enter(Query query, int cls, int tenant, BooleanSupplier waits, Consumer<Answer> answer) {
+        Exchange x = exchanges.open(query, cls, waits, answer);
         if (x == null) {
             answer.accept(new Answer.Invalid("trace " + query.trace() + " is that of an open query"));
             return () -> { };
--- a/gateway/src/main/java/sandpaddle/serve/Exchange.java
+++ b/gateway/src/main/java/sandpaddle/serve/Exchange.java
@@ -1,6 +1,7 @@
 package sandpaddle.serve;
 
 import java.time.Instant;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import sandpaddle.net.Timers;
 import sandpaddle.query.Answer;
@@ -28,13 +29,21 @@
     Timers.Timer overdue;
     private Consumer<Answer> client;
 
-    Exchange(String id, Query query, int cls, Instant takenAt, Consumer<Answer> client) {
+    private final BooleanSupplier waiting;
+
+    Exchange(String id, Query query, int cls, Instant takenAt, BooleanSupplier waiting, Consumer<Answer> client) {
         this.id = id;
         this.query = query;
         this.cls = cls;
         this.takenAt = takenAt;
         expiresAt = takenAt.plus(query.patience());
         this.client = client;
+        this.waiting = waiting;
+    }
+
+    /** Whether an answer is owed; looks first whether the client has left by now. */
+    boolean isWanted() {
+        return client != null && waiting.getAsBoolean() && client != null;
     }
 
     boolean isOver() {
--- a/gateway/src/main/java/sandpaddle/serve/Exchanges.java
+++ b/gateway/src/main/java/sandpaddle/serve/Exchanges.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import sandpaddle.decide.Gateway;
 import sandpaddle.net.Scheduler;
@@ -55,11 +56,12 @@
     }
 
     /** Opens a query; null where its trace is that of an open one, for an engine knows a query by its trace alone. */
-    Exchange open(Query query, int cls, Consumer<Answer> answer) {
+    Exchange open(Query query, int cls, BooleanSupplier waiting, Consumer<Answer> answer) {
         if (!traces.add(query.trace())) {
             return null;
         }
-        Exchange x = new Exchange(query.trace() + "-" + serial++, query, cls, loop.now(), answer);
+        Exchange x = new Exchange(query.trace() + "-" + serial++, query, cls, loop.now(), waiting,
+                answer);
         x.arrival = door.arrived(query, cls);
         open.put(x.id, x);
         waits(x, true);
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/crossing/Caller.java
@@ -0,0 +1,181 @@
+package sandpaddle.crossing;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A client whose every byte the test plays; nothing of it waits. */
+final class Caller implements AutoCloseable {
+    private static final int ERR = 0xFF;
+    private static final int EOF = 0xFE;
+
+    private final SocketChannel channel;
+    private final int gateway;
+    private final ByteArrayOutputStream in = new ByteArrayOutputStream();
+    private long written;
+    private boolean ended, reset;
+
+    Caller(InetSocketAddress gateway) throws IOException {
+        channel = SocketChannel.open(gateway);
+        channel.configureBlocking(false);
+        channel.setOption(java.net.StandardSocketOptions.TCP_NODELAY, true);
+        this.gateway = gateway.getPort();
+    }
+
+    int port() throws IOException {
+        return ((InetSocketAddress) channel.getLocalAddress()).getPort();
+    }
+
+    /** Writes, and waits until the gateway's kernel has it all, of which so much was there unread before. */
+    void write(byte[] bytes, long unreadBefore) throws IOException {
+        ByteBuffer b = ByteBuffer.wrap(bytes);
+        while (b.hasRemaining()) {
+            channel.write(b);
+        }
+        Kernel.awaitUnread(gateway, port(), unreadBefore + bytes.length);
+    }
+
+    /** Writes without looking what becomes of it. */
+    void send(byte[] bytes) throws IOException {
+        ByteBuffer b = ByteBuffer.wrap(bytes);
+        while (b.hasRemaining()) {
+            channel.write(b);
+        }
+    }
+
+    /** Ends its side, or all of it, and waits until the gateway's kernel has the end. */
+    void halfClose() throws IOException {
+        channel.shutdownOutput();
+        Kernel.awaitEnd(gateway, port());
+    }
+
+    void leave() throws IOException {
+        read();
+        int port = port();
+        channel.close();
+        Kernel.awaitEnd(gateway, port);
+    }
+
+    /** Closes with a reset. */
+    void tear() throws IOException {
+        Socket s = channel.socket();
+        s.setSoLinger(true, 0);
+        channel.close();
+    }
+
+    void read() throws IOException {
+        ByteBuffer b = ByteBuffer.allocate(64 * 1024);
+        try {
+            int n = channel.isOpen() && !ended ? channel.read(b) : 0;
+            while (n > 0) {
+                in.write(b.array(), 0, n);
+                b.clear();
+                n = channel.read(b);
+            }
+            ended |= n < 0;
+        } catch (IOException e) {
+            ended = true;
+            reset = true;
+        }
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    boolean isReset() {
+        return reset;
+    }
+
+    /** The payloads of the packets read so far. */
+    List<byte[]> packets() {
+        List<byte[]> all = new ArrayList<>();
+        byte[] b = in.toByteArray();
+        for (int at = 0; at + 4 <= b.length;) {
+            int length = b[at] & 0xFF | (b[at + 1] & 0xFF) << 8 | (b[at + 2] & 0xFF) << 16;
+            if (at + 4 + length > b.length) {
+                break;
+            }
+            all.add(java.util.Arrays.copyOfRange(b, at + 4, at + 4 + length));
+            at += 4 + length;
+        }
+        return all;
+    }
+
+    /** The connection id of the greeting. */
+    int id() {
+        byte[] p = packets().get(0);
+        int at = 1;
+        while (p[at] != 0) {
+            at++;
+        }
+        return p[at + 1] & 0xFF | (p[at + 2] & 0xFF) << 8;
+    }
+
+    /** After greeting and login, each answer in a word: "ok", the number of an error, or "rows" for a result. */
+    List<String> answers() {
+        List<String> all = new ArrayList<>();
+        List<byte[]> packets = packets();
+        for (int i = 2; i < packets.size(); i++) {
+            byte[] p = packets.get(i);
+            if ((p[0] & 0xFF) == ERR) {
+                all.add(Integer.toString(p[1] & 0xFF | (p[2] & 0xFF) << 8));
+            } else if (p[0] == 0) {
+                all.add("ok");
+            } else {
+                int eofs = 0;
+                for (; i < packets.size() && eofs < 2; i++) {
+                    eofs += (packets.get(i)[0] & 0xFF) == EOF && packets.get(i).length == 5 ? 1 : 0;
+                }
+                i--;
+                all.add(eofs == 2 ? "rows" : "cut");
+            }
+        }
+        return all;
+    }
+
+    @Override
+    public void close() throws IOException {
+        channel.close();
+    }
+
+    static byte[] login() {
+        ByteArrayOutputStream o = new ByteArrayOutputStream();
+        int caps = 0x200 | 0x8 | 0x8000 | 0x80000;
+        o.writeBytes(new byte[] {(byte) caps, (byte) (caps >> 8), (byte) (caps >> 16), 0, 0, 0, 0, 1, 45});
+        o.writeBytes(new byte[23]);
+        o.writeBytes("app\0\0core\0mysql_native_password\0".getBytes(StandardCharsets.US_ASCII));
+        return packet(1, o.toByteArray());
+    }
+
+    static byte[] packet(int seq, byte[] payload) {
+        byte[] b = new byte[payload.length + 4];
+        for (int i = 0; i < 3; i++) {
+            b[i] = (byte) (payload.length >> 8 * i);
+        }
+        b[3] = (byte) seq;
+        System.arraycopy(payload, 0, b, 4, payload.length);
+        return b;
+    }
+
+    static byte[] query(String text) {
+        return packet(0, ("\3" + text).getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    static byte[] query(String route, int trace, int patienceMs) {
+        return query("/* route=%s,trace=%016x,patience=%d,weight=20.0,est_mb=8 */ SELECT 1".formatted(route, trace,
+                patienceMs));
+    }
+
+    static byte[] both(byte[] a, byte[] b) {
+        byte[] all = java.util.Arrays.copyOf(a, a.length + b.length);
+        System.arraycopy(b, 0, all, a.length, b.length);
+        return all;
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/crossing/HandClock.java
@@ -0,0 +1,31 @@
+package sandpaddle.crossing;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+
+/** A clock that stands still until the test moves it. */
+final class HandClock extends Clock {
+    private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+
+    void pass(Duration span) {
+        now = now.plus(span);
+    }
+
+    @Override
+    public ZoneId getZone() {
+        return ZoneOffset.UTC;
+    }
+
+    @Override
+    public Clock withZone(ZoneId zone) {
+        return this;
+    }
+
+    @Override
+    public Instant instant() {
+        return now;
+    }
+}
--- a/gateway/src/test/java/sandpaddle/story/NoteStories.java
+++ b/gateway/src/test/java/sandpaddle/story/NoteStories.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -46,7 +47,7 @@
             }
 
             @Override
-            public Ticket submit(Query query, Consumer<Answer> answer) {
+            public Ticket submit(Query query, BooleanSupplier waits, Consumer<Answer> answer) {
                 taken.add(query);
                 answer.accept(next);
                 return () -> { };
--- a/lab/src/main/java/sandpaddle/lab/ClientSession.java
+++ b/lab/src/main/java/sandpaddle/lab/ClientSession.java
@@ -48,7 +48,7 @@
     private boolean closed;
 
     ClientSession(Loop loop, InetSocketAddress gateway) throws IOException {
-        connection = Connection.open(loop, gateway, this);
+        connection = Connection.open(loop, Loop.Rank.CLIENT, gateway, this);
     }
 
     /** The greeting's connection id, for KILL; 0 before it came. */
--- a/lab/src/main/java/sandpaddle/lab/Relay.java
+++ b/lab/src/main/java/sandpaddle/lab/Relay.java
@@ -126,7 +126,7 @@
         void open() {
             near.owner(new Half(there, this, true));
             try {
-                far = Connection.open(loop, target, new Half(back, this, false));
+                far = Connection.open(loop, Loop.Rank.ENGINE, target, new Half(back, this, false));
             } catch (IOException e) {
                 end();
             }
--- a/lab/src/test/java/sandpaddle/lab/RelayTest.java
+++ b/lab/src/test/java/sandpaddle/lab/RelayTest.java
@@ -72,7 +72,7 @@
 
     private void open(boolean framed) throws IOException {
         relay = new Relay(loop, target.address(), new SplittableRandom(7), framed);
-        near = Connection.open(loop, relay.address(), here);
+        near = Connection.open(loop, Loop.Rank.CLIENT, relay.address(), here);
         until(() -> far != null);
     }
 
