Requests of keyed classes reach engines as their clients sent them: nonce and entity go on

Ruled out: tenants, the number of classes, the text of the statement (the same passes in another class), restarts. Lines at fault: Statement.ask read no such field, Requests.start wrote no such header. The site's names on the sockets (real.json) call it X-Op-Key towards engines; entity, which keeps requests in order, is X-Asset. Change: both are bounded, passed on unchanged, and entity is the module's key. The story fails without the first.

--- a/gateway/src/main/java/sandpaddle/http/Requests.java
+++ b/gateway/src/main/java/sandpaddle/http/Requests.java
@@ -11,13 +11,19 @@
 
     static byte[] start(String host, AttemptOrder o, Duration patience) {
         StringBuilder head = new StringBuilder(256).append("POST /x HTTP/1.1\r\nHost: ").append(host)
-                .append("\r\nX-Trace: ").append(o.trace()).append("\r\nX-Profile: ").append(o.route())
+                .append("\r\nX-Trace: ").append(o.trace()).append("\r\nX-Profile: ").append(o.query().route())
                 .append("\r\nX-Patience: ").append(Math.max(1, patience.toMillis()));
+        if (!o.query().operation().isEmpty()) {
+            head.append("\r\nX-Op-Key: ").append(o.query().operation());
+        }
+        if (!o.query().entity().isEmpty()) {
+            head.append("\r\nX-Asset: ").append(o.query().entity());
+        }
         if (o.memoryMb() > 0) {
             head.append("\r\nQuery-Memory: ").append(tenths(o.memoryMb()));
         }
         head.append("\r\nQuery-Priority: ").append(o.priority());
-        return withBody(head, o.statement());
+        return withBody(head, o.query().statement());
     }
 
     private static String tenths(double mb) {
--- a/gateway/src/main/java/sandpaddle/mysql/Statement.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Statement.java
@@ -29,6 +29,7 @@
     Pattern TRACE = Pattern.compile("[0-9a-fA-F]{16}");
     Pattern TENANT = Pattern.compile("[^\\p{Cntrl}]{1,64}");
     Pattern ONCE = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+    Pattern KEY = Pattern.compile("[\\x21-\\x7E]{1,128}"); // it becomes a header's value
     long MOST_MS = Duration.ofDays(1).toMillis();
 
     static Statement parse(byte[] text) {
@@ -86,12 +87,17 @@
         if (!tenant.isEmpty() && !TENANT.matcher(tenant).matches()) {
             return new Unusable("field 'customer' is not 1 to 64 printable characters");
         }
+        for (String key : new String[] {"nonce", "entity"}) {
+            if (fields.containsKey(key) && !KEY.matcher(fields.get(key)).matches()) {
+                return new Unusable("field '" + key + "' is not 1 to 128 printable characters");
+            }
+        }
         if (statement.isBlank()) {
             return new Unusable("no statement after the fields");
         }
         return new Ask(new Query(fields.get("route"), trace, millis(patience), millis(weight), memory,
                 SqlScanner.tableGroup(statement), statement.getBytes(StandardCharsets.ISO_8859_1), once,
-                again.equals("1"), tenant, ""));
+                again.equals("1"), tenant, "", fields.getOrDefault("nonce", ""), fields.getOrDefault("entity", "")));
     }
 
     private static Duration millis(double ms) {
--- a/gateway/src/main/java/sandpaddle/query/AttemptOrder.java
+++ b/gateway/src/main/java/sandpaddle/query/AttemptOrder.java
@@ -1,5 +1,6 @@
 package sandpaddle.query;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.function.BooleanSupplier;
 
@@ -9,12 +10,17 @@
  * so the attempt goes out on a connection that comes up for it.
  * Nothing of it may be written from {@code latest} on, nor where {@code wanted}, which is asked right before, says no.
  */
-public record AttemptOrder(String trace, String route, byte[] statement, double memoryMb, int priority,
-        Instant until, boolean isLast, boolean isTrial, Instant latest, BooleanSupplier wanted) {
+public record AttemptOrder(Query query, double memoryMb, int priority, Instant until, boolean isLast, boolean isTrial,
+        Instant latest, BooleanSupplier wanted) {
 
     /** One that is wanted, and may be written, as long as it may run. */
     public AttemptOrder(String trace, String route, byte[] statement, double memoryMb, int priority, Instant until,
             boolean isLast, boolean isTrial) {
-        this(trace, route, statement, memoryMb, priority, until, isLast, isTrial, until, () -> true);
+        this(new Query(route, trace, Duration.ZERO, Duration.ZERO, 0, -1, statement), memoryMb, priority, until, isLast,
+                isTrial, until, () -> true);
+    }
+
+    public String trace() {
+        return query.trace();
     }
 }
--- a/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -156,8 +156,8 @@
             answer.accept(new Answer.Invalid("trace " + query.trace() + " is that of an open query"));
             return () -> { };
         }
-        inbox.tell(new Gateway.Request(x.id, cls, null, Micros.of(query.patience()), Micros.of(query.work()),
-                query.memoryMb(), query.tableGroup(), x.arrival != null && x.arrival.isReturn(),
+        inbox.tell(new Gateway.Request(x.id, cls, query.entity().isEmpty() ? null : query.entity(),
+                Micros.of(query.patience()), Micros.of(query.work()), query.memoryMb(), query.tableGroup(), x.arrival != null && x.arrival.isReturn(),
                 x.arrival != null && x.arrival.yields(), tenant));
         return () -> exchanges.leave(x);
     }
--- a/gateway/src/test/java/sandpaddle/story/GatewayStories.java
+++ b/gateway/src/test/java/sandpaddle/story/GatewayStories.java
@@ -49,6 +49,32 @@
         }
     }
 
+    /** What engines drop repeats by, and keep in order by, reaches them as the client told it, also with a repeat. */
+    @Test
+    public void theNamesOfOperationAndEntityArePassedOnUnchanged() throws Exception {
+        try (var engine = new ScriptedEngine(c -> DECLINED); var feed = new ScriptedFeed();
+                var stage = new Stage(feed, engine); var client = stage.client()) {
+            client.write(Client.query("/* route=load,trace=00000000000000a1,nonce=d6188b5d/+~x,patience=8000,"
+                    + "entity=91f03b7c55d20a64 */ " + SQL));
+            for (int i = 0; i < 2; i++) {
+                var post = engine.next("POST");
+                assertEquals(post.headers().get("x-op-key"), "d6188b5d/+~x");
+                assertEquals(post.headers().get("x-asset"), "91f03b7c55d20a64");
+                assertEquals(post.body(), SQL);
+                engine.script(c -> ok("a\tb\tc\n"));
+            }
+            assertEquals(client.answer(), "a|b|c");
+            for (String bad : List.of("nonce=", "entity=a b", "nonce=" + "x".repeat(129))) {
+                assertEquals(client.ask("/* route=load,trace=00000000000000a2,patience=800," + bad + " */ " + SQL)
+                        .substring(0, 4), "1064", bad);
+            }
+            client.write(Client.query(Stage.fields("load", 3, 5000) + SQL));
+            var bare = engine.next("POST");
+            assertEquals(bare.headers().get("x-op-key"), null);
+            assertEquals(bare.headers().get("x-asset"), null);
+        }
+    }
+
     /** Guards against a connection that breaks while the query runs on: it is bound to none. */
     @Test
     public void aBrokenPollIsAskedAgainOnAnotherConnection() throws Exception {
