A connection with a copied answer serves no other query; SIGHUP while the configuration is read is tested

Cause, by reading: news that come twice shift every later answer on their connection by one call. The query itself can bear that; but its last answer could still be on its way, on an engine that hangs, when the connection has been quiet for 50 ms and carries the next query's POST: the rows of the first would be served as the second's (EnginePool.release kept it). Change: news at once, on the connection of the last news and the same as those, make their connection doubted; it is closed with the query. News in their time (250 ms) cost none.

--- a/gateway/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -49,6 +49,7 @@
     private boolean brokeOff; // the latest call or its connection was ended by the other side
     private boolean outOfReach; // the listener has been told
     private String stats;
+    private String lastNews; // topic and value of the news before
     private Instant reachedAt; // when the engine was last reached
     private Instant askedAt; // when the call that is out began
 
@@ -256,6 +257,7 @@
         switch (verdict) {
             case RESULT -> page(r, page);
             case NEWS -> {
+                doubtCopy(r, firstOfConnection);
                 note(r);
                 pace(r.header("x-result") != null);
             }
@@ -272,6 +274,19 @@
         }
     }
 
+    /**
+     * Guards another query against rows that are not its own: news that came at once and say what the last ones said may be
+     * a copy of those, and the answer to this call still on its way. This query may read it; no other one will.
+     */
+    private void doubtCopy(Response r, boolean firstOfConnection) {
+        String news = r.header("x-result") + " " + r.header("note-value");
+        boolean atOnce = !askedAt.plus(HELD_LEAST).isBefore(loop.now());
+        if (kept != null && !firstOfConnection && atOnce && news.equals(lastNews)) {
+            kept.doubt();
+        }
+        lastNews = news;
+    }
+
     /** Its connection is not used again: a late copy of this answer must not be read as the answer to another POST. */
     private void declined(AttemptEnd how) {
         dropKept();
--- a/gateway/src/main/java/sandpaddle/http/EngineConnection.java
+++ b/gateway/src/main/java/sandpaddle/http/EngineConnection.java
@@ -31,7 +31,7 @@
     private Connection connection;
     private Call call;
     private Timers.Timer bound;
-    private boolean ended, used;
+    private boolean ended, used, doubted;
     private Instant upAt;
 
     EngineConnection(Loop loop, EnginePool pool) {
@@ -55,6 +55,15 @@
         return used;
     }
 
+    /** An answer on it may be a copy: then one more is still to come, which must not be read as another query's. */
+    void doubt() {
+        doubted = true;
+    }
+
+    boolean isDoubted() {
+        return doubted;
+    }
+
     boolean isStale() {
         return ended || connection.isStale();
     }
--- a/gateway/src/main/java/sandpaddle/http/EnginePool.java
+++ b/gateway/src/main/java/sandpaddle/http/EnginePool.java
@@ -193,7 +193,7 @@
     }
 
     void release(EngineConnection c) {
-        if (retired || c.isEnded()) {
+        if (retired || c.isEnded() || c.isDoubted()) {
             c.abandon();
         } else {
             idle.addLast(new Idle(c, loop.now()));
--- a/gateway/src/test/java/sandpaddle/story/Program.java
+++ b/gateway/src/test/java/sandpaddle/story/Program.java
@@ -4,6 +4,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -26,7 +27,7 @@
     private final Process process;
     private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
     private final List<String> read = new ArrayList<>();
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
 
     /** Starts it and waits until it listens. {@code ignored}: a signal that it is to be started without, or empty. */
     Program(String config, String ignored, String... flags) throws IOException, InterruptedException {
@@ -36,7 +37,11 @@
     /** The same with options of the command {@code serve}. */
     Program(String config, String ignored, List<String> flags, List<String> options)
             throws IOException, InterruptedException {
-        Files.writeString(file, config);
+        if (config == null) {
+            new ProcessBuilder("mkfifo", file.toString()).start().waitFor();
+        } else {
+            Files.writeString(file, config);
+        }
         List<String> java = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
         java.addAll(flags);
@@ -49,6 +54,31 @@
         builder.environment().put("BALANCER_CONFIG", file.toString());
         process = builder.start();
         ScriptedEngine.daemon(this::readLog);
+        if (config != null) {
+            awaitListening();
+        }
+    }
+
+    /** Starts it with a configuration that comes through a pipe, by {@link #tellConfig}; returns before it has read any. */
+    static Program piped() throws IOException, InterruptedException {
+        return new Program(null, "", List.of(), List.of());
+    }
+
+    /** Waits until it reads its configuration, does something in that instant, and lets it read. */
+    void tellConfig(String config, Step whileItReads) throws IOException, InterruptedException {
+        try (OutputStream pipe = Files.newOutputStream(file)) {
+            whileItReads.take();
+            pipe.write(config.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    /** What a test does. */
+    interface Step {
+        void take() throws IOException, InterruptedException;
+    }
+
+    /** Waits until it listens. */
+    void awaitListening() throws IOException, InterruptedException {
         Matcher m = LISTENS.matcher(awaitLine("Server: n0 listens on"));
         if (!m.find()) {
             throw new IOException("no address in the log: " + read);
--- a/gateway/src/test/java/sandpaddle/story/ProgramStories.java
+++ b/gateway/src/test/java/sandpaddle/story/ProgramStories.java
@@ -41,6 +41,20 @@
         }
     }
 
+    /** Guards against the JVM's own answer to SIGHUP, which is to end, in the instant in which the configuration is read. */
+    @Test
+    public void aHangUpBeforeTheConfigurationIsReadIsHeardOnceThereIsAServer() throws Exception {
+        try (var engine = new ScriptedEngine(c -> ok("1st\t\t\n")); var feed = new ScriptedFeed();
+                var next = new ScriptedFeed(); var program = Program.piped()) {
+            String known = Stage.event(1, true, Stage.host("e", engine, "Ready"));
+            program.tellConfig(config(feed.port(), known), () -> program.signal("HUP"));
+            program.awaitListening();
+            program.tellConfig(config(next.port(), known), () -> { }); // it reads again by itself
+            assertEquals(next.accept().subscription(), "SUB 1");
+            assertTrue(program.isAlive());
+        }
+    }
+
     /** Ids as long as an operator may make them; all are served by one engine. */
     private static String hosts(int from, int to, ScriptedEngine engine, String health) {
         return IntStream.range(from, to).mapToObj(i -> Stage.host("engine-of-the-query-fleet-%08d-%s".formatted(i,
