--- a/gateway/src/main/java/sandpaddle/serve/Actions.java
+++ b/gateway/src/main/java/sandpaddle/serve/Actions.java
@@ -85,8 +85,9 @@
         }
         Instant until = a.timeoutUs() == 0 ? x.expiresAt : now.plus(Micros.span(a.timeoutUs()));
         boolean last = !until.isBefore(x.expiresAt);
-        AttemptOrder order = new AttemptOrder(x.query, x.memoryMb, x.priority, last ? x.expiresAt : until, last, a.trial(),
-                a.latestUs() == 0 ? x.expiresAt : earlier(x.expiresAt, Micros.instant(a.latestUs())), x::isWanted);
+        Instant over = last ? x.expiresAt : until;
+        AttemptOrder order = new AttemptOrder(x.query, x.memoryMb, x.priority, over, last, a.trial(),
+                a.latestUs() == 0 ? over : earlier(over, Micros.instant(a.latestUs())), x::isWanted);
         door.sent(x);
         QueryLog.sent(x, number, a.engine());
         x.engine = a.engine();
--- a/gateway/src/test/java/sandpaddle/crossing/RepeatWindowTest.java
+++ b/gateway/src/test/java/sandpaddle/crossing/RepeatWindowTest.java
@@ -26,4 +26,21 @@
             }
         }
     }
+
+    /** R2. Guards against work for nobody: its connection comes up in the turn in which its time is over. */
+    @Test
+    public void anAttemptIsNotWrittenOnceItsTimeIsOver() throws Exception {
+        try (Crossing x = new Crossing()) {
+            x.list("Ready");
+            Caller c = x.ready();
+            c.write(Caller.query("once", 1, 600), 0);
+            x.clock.pass(Duration.ofMillis(1)); // it opens its connection in the next turn, and that is up at once
+            x.turn();
+            x.clock.pass(Duration.ofMillis(601));
+            x.settle();
+            assertEquals(x.worker.connections(), 1);
+            assertEquals(x.worker.calls("POST"), 0);
+            assertEquals(c.answers().size(), 1);
+        }
+    }
 }
