--- a/gateway/src/main/java/sandpaddle/mysql/Messages.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Messages.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import sandpaddle.query.Answer;
 import sandpaddle.query.ResultSet;
 
 /** The packets that a server of the client protocol 4.1 sends. */
@@ -49,6 +50,19 @@
                 .raw(("#" + error.state + text).getBytes(StandardCharsets.UTF_8)).end().bytes();
     }
 
+    /** The one final answer to a query. */
+    static byte[] answer(Answer answer) {
+        if (answer instanceof Answer.Served s) {
+            return resultSet(1, s.rows(), s.note().isEmpty() ? 0 : 1);
+        } else if (answer instanceof Answer.Refused r) {
+            return error(1, SqlError.ER_TOO_MANY_USER_CONNECTIONS,
+                    r.pause().isZero() ? "refused" : "refused, pause=" + r.pause().toMillis());
+        } else if (answer instanceof Answer.Failed f) {
+            return error(1, SqlError.ER_UNKNOWN_ERROR, "failed: " + f.why());
+        }
+        return error(1, SqlError.ER_PARSE_ERROR, ((Answer.Invalid) answer).why());
+    }
+
     /** The answer to SHOW WARNINGS: a note on the last result, or none. */
     static byte[] warnings(String note) {
         String row = note.isEmpty() ? "" : "Note\t1105\t" + note.replace('\t', ' ').replace('\n', ' ') + "\n";
