Attempt's pages are a class of their own

Need: a large file is split as it is touched. Pages keeps what comes of one result; a page that is refused changes nothing of it (before, a spoilt page 0 left its number of pages behind until the next one came). Stories and attempts pass as before.

--- a/gateway/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -2,15 +2,12 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.List;
 import sandpaddle.log.LogEvent;
 import sandpaddle.net.Loop;
 import sandpaddle.net.Timers;
 import sandpaddle.query.AttemptEnd;
 import sandpaddle.query.AttemptOrder;
 import sandpaddle.query.EngineSide;
-import sandpaddle.query.ResultSet;
 
 /**
  * The life of one attempt: POST, long polls until its end, the further pages. It ends when its end is read, or
@@ -18,8 +15,6 @@
  */
 final class Attempt implements EngineSide.Running {
     static final String STATS = "x-stats";
-    private static final int MOST_PAGES = 64;
-    private static final int MOST_BYTES = 64 * 1024; // a result has 48,000 bytes at most
     /** An engine answers a poll after 250 ms, and gives up a query not asked for in 2 s. */
     static final Duration SILENT = Duration.ofMillis(600);
     private static final Duration HELD_LEAST = Duration.ofMillis(50);
@@ -37,12 +32,12 @@
     private final EnginePool pool;
     private final AttemptOrder order;
     private final EngineSide.Listener listener;
-    private final List<byte[]> pages = new ArrayList<>();
+    private final Pages pages = new Pages();
     private final Timers.Timer timeout;
     private Phase phase = Phase.CONNECTING;
     private EngineConnection connection; // the one that a call is out on
     private EngineConnection kept; // the one that the last answer came on, until the next call
-    private int pagesInAll = 1, bytes, breaks, spoilt;
+    private int breaks, spoilt;
     private boolean everSent; // a byte of the POST may have left
     private boolean taken; // the engine has said that it knows the query
     private boolean asksAgain; // a call's answer got lost
@@ -327,22 +322,12 @@
 
     /** Only a result whose pages are all in, numbered as asked for and made of whole rows, is an answer. */
     private void page(Response r, int page) {
-        if (page == 0) {
-            pagesInAll = r.number("result-pages", -1);
-        }
-        bytes += r.body().length;
-        boolean numbered = page == 0 ? pagesInAll >= 1 && pagesInAll <= MOST_PAGES
-                : r.number("result-page", -1) == page;
-        if (!numbered || bytes > MOST_BYTES || !ResultSet.isWhole(r.body())) {
-            bytes -= r.body().length;
+        if (!pages.take(r, page)) {
             spoilt("malformed page " + page, page);
-            return;
-        }
-        pages.add(r.body());
-        if (pages.size() == pagesInAll) {
-            end(new AttemptEnd.Done(new ResultSet(List.copyOf(pages)), stats));
+        } else if (pages.isWhole()) {
+            end(new AttemptEnd.Done(pages.rows(), stats));
         } else {
-            ask(pages.size());
+            ask(pages.next());
         }
     }
 
