An engine that starts ahead of the clock has a capacity where none is ever cold

Where rules.cold_us is 0 and an engine's machine has a clock ahead of the gateway's, its age was under 0 and its warmth 0 / 0: the capacity of the fleet was no number, and the door of the retry storms let nobody in.

An age counts from 0 on. FleetViewTest was seen to fail with NaN before.

--- a/gateway/src/main/java/sandpaddle/storm/FleetView.java
+++ b/gateway/src/main/java/sandpaddle/storm/FleetView.java
@@ -84,10 +84,11 @@
         return e.startedAt <= 0 ? 1 : warmthAfter(time - e.startedAt);
     }
 
-    /** The least part of its capacity that an engine has by the rules so long after its start. */
-    private double warmthAfter(long age) {
+    /** The least part of its capacity that an engine has by the rules so long after its start, which may be ahead. */
+    private double warmthAfter(long since) {
         Gateway.Rules r = settings.rules();
-        return age >= r.coldUs() ? 1 : r.coldFrom() + (1 - r.coldFrom()) * Math.max(0, age) / r.coldUs();
+        long age = Math.max(0, since);
+        return age >= r.coldUs() ? 1 : r.coldFrom() + (1 - r.coldFrom()) * age / r.coldUs();
     }
 
     /** Capacity at a time, or where less answers what the usual fleet could do if it came back cold now (cores). */
