A connection that its engine closes before it is quiet is not used again

A call waits for the 50 ms of quiet of a connection that was just used. Where bounds.conn_idle_us is shorter, the engine closes it in that time, and the POST may cross the close.

The wait is left out where idle connections are retired sooner. IdleTest was seen to fail before: both calls went over one connection.

--- a/gateway/src/main/java/sandpaddle/http/EnginePool.java
+++ b/gateway/src/main/java/sandpaddle/http/EnginePool.java
@@ -72,10 +72,12 @@
     /**
      * To wait for the quiet of one that was just used costs some ms, less than a handshake costs the engine. With many
      * gateways it is the usual case: each has few queries on an engine, and sends the next where one has just ended.
+     * Where engines close idle ones before they are quiet, a call could cross the close: none is used again.
      */
     private void acquire(Waiter waiter, boolean reserved) {
         EngineConnection c = quietOne();
-        Idle next = c == null ? idle.pollFirst() : null; // the one that is quiet first
+        boolean waits = c == null && QUIET.compareTo(engines.idleMost()) < 0;
+        Idle next = waits ? idle.pollFirst() : null; // the one that is quiet first
         if (c != null) {
             waiter.up(c);
         } else if (next != null) {
--- /dev/null
+++ b/gateway/src/test/java/sandpaddle/http/IdleTest.java
@@ -0,0 +1,26 @@
+package sandpaddle.http;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import org.testng.annotations.Test;
+
+public class IdleTest extends AttemptStage {
+    /** The engine would close it before it is quiet, maybe as the next query is written on it. */
+    @Test
+    public void aConnectionThatEndsBeforeItIsQuietIsNotUsedAgain() throws Exception {
+        engines = new Engines(loop, Duration.ofMillis(250), Duration.ofMillis(20), 20);
+        engines.listed("e", (InetSocketAddress) listening.getLocalAddress(), Instant.EPOCH, true, false);
+        Heard first = new Heard();
+        start(first);
+        until(() -> posts() == 1);
+        answer(0);
+        until(() -> !first.ends.isEmpty());
+        start(new Heard());
+        pass(Duration.ofMillis(100));
+        until(() -> posts() == 2);
+        assertEquals(accepted.size(), 2);
+    }
+}
