Zones that the settings do not name are not one, and a rating is a size

With an empty or incomplete failure_domains every engine of an unnamed zone had the zone -1: a keyed request with scope 'zone' could be sent again in another zone (rule 2), and a fault in one counted as one of all. Each unnamed zone or kind now has a number under 0 of its own.

A rating of 1e400 made sums of loads no number, and the choice among engines then found none and failed. A rating that can be no size counts as 1.

--- a/gateway/src/main/java/sandpaddle/config/ListEvent.java
+++ b/gateway/src/main/java/sandpaddle/config/ListEvent.java
@@ -71,7 +71,10 @@
                 address));
     }
 
-    /** A name's place in the settings; one that stands alone there need not be told. */
+    /**
+     * A name's place in the settings; one that stands alone there need not be told. One that the settings don't have
+     * gets a number under 0 of its own: two such zones must not count as one.
+     */
     private static int position(Row row, String field, List<String> names, List<String> faults) throws FieldException {
         if (!row.has(field) && names.size() <= 1) {
             return names.size() - 1;
@@ -80,6 +83,6 @@
         if (i < 0 && !names.isEmpty()) {
             faults.add(row.wrong(field, "has the unknown value '" + row.text(field) + "'").getMessage());
         }
-        return i;
+        return i >= 0 ? i : UNKNOWN - 1 - (row.text(field).hashCode() & Integer.MAX_VALUE >>> 1);
     }
 }
--- a/gateway/src/main/java/sandpaddle/decide/Gateway.java
+++ b/gateway/src/main/java/sandpaddle/decide/Gateway.java
@@ -126,7 +126,14 @@
     }
 
     /** A line of the engine list; {@code startedUs} is 0 for long ago. */
-    record EngineEntry(String id, int zone, int kind, int cell, Status status, double rating, long startedUs) { }
+    record EngineEntry(String id, int zone, int kind, int cell, Status status, double rating, long startedUs) {
+        private static final double MOST_RATING = 1e6;
+
+        /** A rating that can be no size counts as 1: it would outweigh all others, or turn their sums into none. */
+        public EngineEntry {
+            rating = rating >= 0 && rating <= MOST_RATING ? rating : 1;
+        }
+    }
 
     /** What a gateway is told. Load rows follow {@code reportFields}; null where none came. */
     sealed interface Event { }
