Settings that merely look wrong no longer stop the start

A failed start serves nobody. Of every number of the settings set to 13 odd values 280 starts failed: cold_from or tip_multiple 0, aim_us 0, figures under 0, times with a fraction, sizes past a long, counts past an int (2^32 attempts were read as 0), a placement by name ('allowed_on' as the control feed spells it), bounds or report fields absent. Some that did start failed later: a stretch of 1e300 overflowed the due time, so all that waited was refused at once; a pause of 1e300 us asked for an array of a size under 0 where storms are looked for; reports without any value of load, or without values, stood for engines at ease.

SettingsReader now reads each in the strictest way that still serves, and Config carries a warning with key, value and reading, which the server logs and the adapter prints once. Sums and products of what is read stay finite (Lenient). A budget without a span counts over all time; of a long span ten minutes are kept, with as much less to spend freely, as a time is remembered for each request. Refused are still an unknown effect, a deadline of 0, no class, another type, a count with a fraction, and what the platform always tells in rules and is missing.

--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -80,6 +80,7 @@
         loop = new Loop(clock);
         int forClients = config.sockets() / CLIENTS_PART + MORE_CLIENTS;
         int forEngines = config.sockets() - forClients - MysqlFrontend.MOST_LEAVING - OTHER_DESCRIPTORS;
+        config.warnings().forEach(w -> Logger.warn("configuration: {}", w));
         tellWhatIsShort(forEngines);
         engines = new Engines(loop, config.connectTimeout(), config.engineIdle(),
                 Math.max(LEAST_FOR_ENGINES, forEngines));
--- a/gateway/src/main/java/sandpaddle/config/Config.java
+++ b/gateway/src/main/java/sandpaddle/config/Config.java
@@ -14,15 +14,18 @@
 
 /**
  * All that one gateway is told at its start; {@code sockets} and {@code memoryMb} are its limits, 0 MB: none told;
- * {@code peers}: whether gateways may talk to each other.
+ * {@code peers}: whether gateways may talk to each other; {@code warnings}: keys of the settings that look wrong,
+ * each with how it is read.
  */
 public record Config(String name, InetSocketAddress listen, long seed, int sockets, long memoryMb,
         InetSocketAddress feed, long knownNumber, List<ListEvent> known, Names names, Gateway.Settings settings,
-        Duration engineIdle, Duration connectTimeout, boolean peers) {
+        Duration engineIdle, Duration connectTimeout, boolean peers, List<String> warnings) {
     private static final String FILE = "BALANCER_CONFIG";
     private static final long SOCKETS = 1024;
     private static final long IDLE_US = 15_000_000;
+    private static final long IDLE_LEAST_US = 1_000; // no connection is used again
     private static final long CONNECT_US = 250_000;
+    private static final long CONNECT_LEAST_US = 1_000;
     private static final int HEX = 16;
 
     /** Reads the file that the environment names; name and address may come from the environment alone. */
@@ -61,24 +64,26 @@
         }
         long last = events.isEmpty() ? 0 : events.get(events.size() - 1).number();
         Row bounds = settings.row("bounds");
+        List<String> warnings = new ArrayList<>();
         return new Config(all.has("name") ? all.text("name") : "sandpaddle", Address.read(all, "listen"), seed(all),
                 (int) atLeast(all.rowOr("limits"), "sockets", SOCKETS, 1),
                 atLeast(all.rowOr("limits"), "memory_mb", 0, 0), Address.read(all, "feed"),
-                known.integerOr("n", last), events, names, checked(settings),
-                span(bounds, "conn_idle_us", IDLE_US), span(bounds, "connect_timeout_us", CONNECT_US),
-                bounds.flagOr("peers", false));
+                known.integerOr("n", last), events, names, checked(settings, warnings),
+                span(bounds, "conn_idle_us", IDLE_US, IDLE_LEAST_US, warnings),
+                span(bounds, "connect_timeout_us", CONNECT_US, CONNECT_LEAST_US, warnings),
+                bounds.flagOr("peers", false), warnings);
     }
 
     /** Whether a running gateway can take over all of it: the feed's address and what is known may differ. */
     public boolean onlyFeedDiffersFrom(Config o) {
         return equals(new Config(o.name, o.listen, o.seed, o.sockets, o.memoryMb, feed, knownNumber, known, o.names,
                 o.settings,
-                o.engineIdle, o.connectTimeout, o.peers));
+                o.engineIdle, o.connectTimeout, o.peers, o.warnings));
     }
 
-    private static Gateway.Settings checked(Row settings) throws FieldException {
+    private static Gateway.Settings checked(Row settings, List<String> warnings) throws FieldException {
         try {
-            return SettingsReader.read(settings);
+            return SettingsReader.read(settings, warnings);
         } catch (IllegalArgumentException e) {
             throw new FieldException(e.getMessage());
         }
@@ -103,10 +108,14 @@
         return n;
     }
 
-    private static Duration span(Row row, String field, long otherwise) throws FieldException {
-        long us = row.integerOr(field, otherwise);
-        if (us <= 0) {
-            throw row.wrong(field, "is not above 0");
+    /** Guards the start: of none told the usual, of one that leaves no time the least. */
+    private static Duration span(Row row, String field, long otherwise, long least, List<String> warnings)
+            throws FieldException {
+        long us = new Lenient(row, new ArrayList<>()).usOr(field, otherwise); // its bounds are warned of elsewhere
+        if (!row.has(field) || us < least) {
+            us = row.has(field) ? least : otherwise;
+            String found = row.has(field) ? "is " + Lenient.shown(row.number(field)) : "is missing";
+            warnings.add(row.wrong(field, found + ": read as " + us).getMessage());
         }
         return Duration.of(us, ChronoUnit.MICROS);
     }
--- a/gateway/src/main/java/sandpaddle/config/Row.java
+++ b/gateway/src/main/java/sandpaddle/config/Row.java
@@ -45,6 +45,16 @@
         return type.cast(v);
     }
 
+    /** What stands before the names of fields in messages. */
+    String path() {
+        return path;
+    }
+
+    /** Of whatever type; null where it is absent. */
+    Object value(String field) {
+        return fields.get(field);
+    }
+
     public boolean has(String field) {
         return fields.get(field) != null;
     }
@@ -65,6 +75,12 @@
         return whole(field, get(field, Number.class, otherwise, false));
     }
 
+    /** A number of whatever size; null where it is absent. */
+    Double numberOrNull(String field) throws FieldException {
+        Number n = get(field, Number.class, null, false);
+        return n == null ? null : (Double) n.doubleValue();
+    }
+
     /** A whole number may be written with a fraction of zeros. */
     private long whole(String field, Number n) throws FieldException {
         if (n.doubleValue() != n.longValue()) {
@@ -129,25 +145,21 @@
         return rows;
     }
 
-    public List<Integer> indexes(String field) throws FieldException {
-        if (!has(field)) {
-            return null;
-        }
-        List<Integer> indexes = new ArrayList<>();
+    /** The objects of a list; messages about their fields tell which one. */
+    List<Row> numbered(String field) throws FieldException {
+        List<Row> rows = new ArrayList<>();
         for (Object v : list(field)) {
-            if (!(v instanceof Long n)) {
-                throw wrong(field, "has the wrong type");
-            }
-            indexes.add(n.intValue());
+            rows.add(rowOf(v, field + "[" + rows.size() + "]"));
         }
-        return indexes;
+        return rows;
     }
 
+    /** A load report; null where none came. One without values tells nothing: it must not stand for an idle engine. */
     public double[] load() throws FieldException {
-        if (!has("load")) {
+        List<?> values = has("load") ? list("load") : List.of();
+        if (values.isEmpty()) {
             return null;
         }
-        List<?> values = list("load");
         double[] load = new double[values.size()];
         for (int i = 0; i < load.length; i++) {
             load[i] = values.get(i) instanceof Number n ? n.doubleValue() : Double.NaN;
--- a/gateway/src/main/java/sandpaddle/decide/Gateway.java
+++ b/gateway/src/main/java/sandpaddle/decide/Gateway.java
@@ -103,13 +103,13 @@
                 need(c.worth() >= 0 && Double.isFinite(c.worth()), path + "value", "is under 0");
                 need(c.threads() >= 1, "specifics.class_threads[" + i + "]", "is under 1");
             }
-            need(limits.maxAttempts() >= 1, "bounds.max_attempts", "is under 1");
-            need(limits.maxHeld() >= 1, "bounds.most_held", "is under 1");
+            need(limits.maxAttempts() >= 0, "bounds.max_attempts", "is under 0");
+            need(limits.maxHeld() >= 0, "bounds.most_held", "is under 0");
             need(limits.maxRetryAfterUs() >= 0, "bounds.max_retry_after_us", "is under 0");
-            need(rules.coldFrom() > 0 && rules.coldFrom() <= 1, "rules.cold_from", "is not above 0 and up to 1");
+            need(rules.coldFrom() >= 0 && rules.coldFrom() <= 1, "rules.cold_from", "is not from 0 to 1");
             need(rules.coldUs() >= 0, "rules.cold_us", "is under 0");
             need(rules.fallUs() >= 0, "rules.fall_us", "is under 0");
-            need(rules.fallMultiple() > 0, "rules.tip_multiple", "is not above 0");
+            need(rules.fallMultiple() >= 0, "rules.tip_multiple", "is under 0");
             need(rules.drainGraceUs() >= 0, "rules.drain_grace_us", "is under 0");
             need(rules.budgetSpanUs() >= 0, "rules.budget_span_us", "is under 0");
             need(rules.budgetFree() >= 0 && rules.budgetShare() >= 0, "rules.extra_share", "is under 0");
--- a/gateway/src/main/java/sandpaddle/serve/Stats.java
+++ b/gateway/src/main/java/sandpaddle/serve/Stats.java
@@ -10,7 +10,7 @@
 
     /** The values of the named fields in their order; null where there is no report, NaN where one is missing. */
     static double[] read(String text, List<String> fields) {
-        if (text == null) {
+        if (text == null || fields.isEmpty()) { // without fields a report tells nothing, not that nothing runs
             return null;
         }
         double[] values = new double[fields.size()];
--- a/gateway/src/test/java/sandpaddle/story/ProgramStories.java
+++ b/gateway/src/test/java/sandpaddle/story/ProgramStories.java
@@ -41,6 +41,27 @@
         }
     }
 
+    /** Guards the start, which a whole version stands and falls with, against settings that merely look wrong. */
+    @Test
+    public void aSiteOfOddSettingsIsServed() throws Exception {
+        String odd = Stage.SETTINGS.replace("\"cold_from\":0.3", "\"cold_from\":0")
+                .replace("\"aim_us\":1500000", "\"aim_us\":0").replace("\"models\":[\"std\"]", "\"models\":[]")
+                .replace("\"fields\":[\"utilization\",\"backlog\"]", "\"fields\":null")
+                .replace("\"value\":1.0", "\"value\":0").replace("\"zone\":0", "\"zone\":null")
+                .replace("\"connect_timeout_us\":250000", "\"connect_timeout_us\":null")
+                .replace("\"conn_idle_us\":15000000", "\"conn_idle_us\":20000")
+                .replace("\"max_attempts\":5", "\"max_attempts\":99999999999999999999");
+        try (var engine = new ScriptedEngine(c -> ok("1st\t\t\n")); var feed = new ScriptedFeed();
+                var program = new Program(config(feed.port(), Stage.event(1, true, Stage.host("e", engine, "Ready")))
+                        .replace(Stage.SETTINGS, odd), "")) {
+            assertTrue(program.hasSaid("configuration: field 'settings.rules.cold_from' is 0: an engine gets nothing"));
+            Client client = Client.ready(program.address());
+            for (int i = 0; i < 3; i++) {
+                assertEquals(client.ask(Stage.fields("lookup", i, 5000) + SQL), "1st||");
+            }
+        }
+    }
+
     /** Ids as long as an operator may make them; all are served by one engine. */
     private static String hosts(int from, int to, ScriptedEngine engine, String health) {
         return IntStream.range(from, to).mapToObj(i -> Stage.host("engine-of-the-query-fleet-%08d-%s".formatted(i,
