--- a/gateway/src/main/java/sandpaddle/fleet/limit/LimitSettings.java
+++ b/gateway/src/main/java/sandpaddle/fleet/limit/LimitSettings.java
@@ -1,6 +1,8 @@
 package sandpaddle.fleet.limit;
 
+import java.util.Collections;
 import java.util.EnumSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 
 /**
@@ -20,6 +22,7 @@
         300 * MS, 30_000 * MS, 0.005, 0.05, 0.05, EnumSet.allOf(Guard.class));
 
     public LimitSettings {
+        guards = Collections.unmodifiableSet(new LinkedHashSet<>(guards)); // the defaults are those of the process
         if (beat <= 0 || lease < 2 * beat || engineForget < 0 || outlive < 0 || slack < 0 || repeat <= 0
                 || floorKeep < 0) {
             throw new IllegalArgumentException("fleet times: beat " + beat + " and repeat " + repeat
@@ -37,7 +40,7 @@
 
     /** The same without one guard, for tests. */
     public LimitSettings without(Guard guard) {
-        EnumSet<Guard> left = EnumSet.copyOf(guards);
+        Set<Guard> left = new LinkedHashSet<>(guards);
         left.remove(guard);
         return new LimitSettings(beat, lease, engineForget, outlive, slack, repeat, floorKeep, drift, floorShare, band,
             left);
