Cold engines: each gateway's cap is one of n, not its learnt share, so caps sum to N / 2

Need: a cold engine falls under the sum of what all gateways send, and the cap on what each may send it was its learnt share of the traffic times half of what fells it. Learnt shares need not sum to one.

--- a/gateway/src/main/java/sandpaddle/decide/Cold.java
+++ b/gateway/src/main/java/sandpaddle/decide/Cold.java
@@ -51,7 +51,7 @@
         if (warm(e) || fells(h, e)) {
             return warm(e);
         }
-        double most = m.share * m.s.rules().fallMultiple() / 2; // a jam draws far more
+        double most = m.s.rules().fallMultiple() / 2 / m.s.gateways(); // learnt shares may sum to more than one
         double gain = Math.min(warmRate() * PART * e.coldGain, most) * coresNow(e);
         return e.cold.have(m.now, gain, gain * m.s.rules().fallUs()) >= 0;
     }
