--- a/gateway/src/test/java/sandpaddle/decide/RampFleet.java
+++ b/gateway/src/test/java/sandpaddle/decide/RampFleet.java
@@ -403,22 +403,21 @@
 
     /** Prints a table: seeds, gateways (all of 20, 30, 120 if missing), and any third word for selfish reports. */
     public static void main(String[] args) {
+        int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 8;
         for (int gateways : args.length > 1 ? new int[] {Integer.parseInt(args[1])} : new int[] {20, 30, 120}) {
-            double served = 0, cold = 0, shares = 0;
+            double served = 0;
+            double cold = 0;
             ColdRecount all = new ColdRecount();
-            int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 8;
             for (int seed = 0; seed < seeds; seed++) {
                 RampFleet f = new RampFleet(gateways, seed, args.length > 2).play();
                 f.starts.forEach(s -> all.count(s, f.settings.rules(), f.meanWork()));
-                System.out.printf("%4d %3d %-5s N %.1f surge %.1f spread %.1f est %5b %s served %.3f cold used %.3f %s%n", gateways,
-                        seed, f.roll, ColdRecount.allowed(f.settings.rules(), 8, f.meanWork(), 0),
-                        Math.max(0, f.surgeAt - f.origin) / 1e6, f.spread / 1e6, f.estimates, f.settings.reportFields().get(0),
-                        f.served / f.offered, f.coldUsed(), f.recount());
+                double n = ColdRecount.allowed(f.settings.rules(), 8, f.meanWork(), 0);
+                System.out.printf("%4d %3d %-5s N %.1f reports %s served %.3f cold used %.3f %s%n", gateways, seed,
+                        f.roll, n, f.settings.reportFields().get(0), f.served / f.offered, f.coldUsed(), f.recount());
                 served += f.served / f.offered / seeds;
-                shares += f.fronts.stream().mapToDouble(x -> ((Decide) x.module).m.share).sum() / seeds;
                 cold += f.coldUsed() / seeds;
             }
-            System.out.printf("%4d mean served %.4f cold used %.4f shares %.2f %s%n", gateways, served, cold, shares, all);
+            System.out.printf("%4d mean served %.4f cold used %.4f %s%n", gateways, served, cold, all);
         }
     }
 }
