--- a/gateway/src/main/java/sandpaddle/http/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/http/Attempt.java
@@ -270,8 +270,8 @@
     }
 
     /**
-     * Guards another query against rows that are not its own: news that came at once and say what the last ones said may be
-     * a copy of those, and the answer to this call still on its way. This query may read it; no other one will.
+     * Guards another query against rows that are not its own: news that came at once and say what the last ones said
+     * may be a copy of those, and the answer to this call still on its way. This query may read it; no other one will.
      */
     private void doubtCopy(Response r, boolean firstOfConnection) {
         String news = r.header("x-result") + " " + r.header("note-value");
--- a/gateway/src/main/java/sandpaddle/mysql/Session.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Session.java
@@ -80,8 +80,8 @@
     }
 
     /**
-     * While a query is open all is read, so that the end of a client that no longer waits is seen behind whatever it sent
-     * ahead; what is more than a client may send ahead is thrown away.
+     * While a query is open all is read, so that the end of a client that no longer waits is seen behind whatever it
+     * sent ahead; what is more than a client may send ahead is thrown away.
      */
     @Override
     public void received(ByteBuffer bytes) {
@@ -241,8 +241,8 @@
     }
 
     /**
-     * Its descriptor is needed for another client; whether it gave it. Not one that has asked for something by now: a close
-     * over a request that waits to be read would lose it.
+     * Its descriptor is needed for another client; whether it gave it. Not one that has asked for something by now: a
+     * close over a request that waits to be read would lose it.
      */
     boolean makesRoom() {
         connection.look();
@@ -254,8 +254,8 @@
     }
 
     /**
-     * Closes a session with nothing open. What has come by now is heard first: only a request that crosses the close itself
-     * is sent again by its client.
+     * Closes a session with nothing open. What has come by now is heard first: only a request that crosses the close
+     * itself is sent again by its client.
      */
     void closeIdle() {
         connection.look();
--- a/gateway/src/main/java/sandpaddle/net/Connection.java
+++ b/gateway/src/main/java/sandpaddle/net/Connection.java
@@ -28,7 +28,7 @@
         void closed(Exception cause);
     }
 
-    /** Reads of one connection in a turn, until it has told all: so that one that floods does not keep the others waiting. */
+    /** Reads of one connection in a turn, until it has told all: one that floods does not keep the others waiting. */
     private static final int MOST_READS = 4;
 
     private final Loop loop;
@@ -194,8 +194,8 @@
     }
 
     /**
-     * Hears all that the other side has told by now, its end too, without waiting for the next turn: before something is
-     * begun for it, or its connection is closed. Bounded by what the owner takes before it closes or stops reading.
+     * Hears all that the other side has told by now, its end too, without waiting for the next turn: before something
+     * is begun for it, or its connection is closed. Bounded by what the owner takes before it closes or stops reading.
      */
     public void look() {
         try {
--- a/gateway/src/main/java/sandpaddle/net/Loop.java
+++ b/gateway/src/main/java/sandpaddle/net/Loop.java
@@ -19,8 +19,8 @@
  */
 public final class Loop implements Scheduler {
     /**
-     * The order of what is ready in one turn. What may forbid or end an attempt is heard before a connection to an engine
-     * comes up and carries one, however long the turn took: the engine list, then clients that leave or cancel.
+     * The order of what is ready in one turn. What may forbid or end an attempt is heard before a connection to an
+     * engine comes up and carries one, however long the turn took: the engine list, then clients that leave or cancel.
      */
     public enum Rank { LIST, CLIENT, LISTENER, ENGINE }
 
--- a/gateway/src/main/java/sandpaddle/query/Query.java
+++ b/gateway/src/main/java/sandpaddle/query/Query.java
@@ -12,16 +12,10 @@
 public record Query(String route, String trace, Duration patience, Duration work, double memoryMb, long tableGroup,
         byte[] statement, String once, boolean again, String tenant, String user, String operation, String entity) {
 
-    /** A query that names no operation and no entity. */
-    public Query(String route, String trace, Duration patience, Duration work, double memoryMb, long tableGroup,
-            byte[] statement, String once, boolean again, String tenant, String user) {
-        this(route, trace, patience, work, memoryMb, tableGroup, statement, once, again, tenant, user, "", "");
-    }
-
     /** A query that names no run and no tenant. */
     public Query(String route, String trace, Duration patience, Duration work, double memoryMb, long tableGroup,
             byte[] statement) {
-        this(route, trace, patience, work, memoryMb, tableGroup, statement, "", false, "", "");
+        this(route, trace, patience, work, memoryMb, tableGroup, statement, "", false, "", "", "", "");
     }
 
     /** The same with another patience. */
--- a/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/serve/Dispatcher.java
@@ -136,7 +136,8 @@
         }
         if (named) {
             Duration limit = Micros.span(settings.classes().get(cls).limitUs());
-            return shared.submit(query, door.fingerprint(query, cls), limit, answer, (q, end) -> take(q, cls, () -> true, end));
+            return shared.submit(query, door.fingerprint(query, cls), limit, answer,
+                    (q, end) -> take(q, cls, () -> true, end));
         }
         return take(query, cls, waits, answer);
     }
@@ -157,8 +158,8 @@
             return () -> { };
         }
         inbox.tell(new Gateway.Request(x.id, cls, query.entity().isEmpty() ? null : query.entity(),
-                Micros.of(query.patience()), Micros.of(query.work()), query.memoryMb(), query.tableGroup(), x.arrival != null && x.arrival.isReturn(),
-                x.arrival != null && x.arrival.yields(), tenant));
+                Micros.of(query.patience()), Micros.of(query.work()), query.memoryMb(), query.tableGroup(),
+                x.arrival != null && x.arrival.isReturn(), x.arrival != null && x.arrival.yields(), tenant));
         return () -> exchanges.leave(x);
     }
 
--- a/gateway/src/test/java/sandpaddle/decide/DrawnDayTest.java
+++ b/gateway/src/test/java/sandpaddle/decide/DrawnDayTest.java
@@ -11,7 +11,7 @@
 
 /** Holds the actions of drawn days fast: a change of form changes none of them, and one of decisions shows here. */
 class DrawnDayTest {
-    /** Taken from the same decisions in one file, with the latest time of each send since; logarithms and powers are those of x86-64. */
+    /** Taken from the same decisions in one file, each send with its latest time; logarithms are those of x86-64. */
     private static final String GOLDEN = "cea85d6b95b0305325d825a557b8656a4aad424b4310f016d4a41216d88f09e4";
     private static final int DAYS = 14;
     private static final long LENGTH_US = 10_000_000;
--- a/gateway/src/test/java/sandpaddle/fleet/node/loop/LoopRig.java
+++ b/gateway/src/test/java/sandpaddle/fleet/node/loop/LoopRig.java
@@ -72,7 +72,7 @@
 
     static Query query(String tenant) {
         return new Query("lookup", "0", Duration.ofSeconds(1), Duration.ZERO, 0, -1, new byte[0], "", false, tenant,
-                "");
+                "", "", "");
     }
 
     static Slot running(String id, int cls, String tenant, String engine) {
--- a/gateway/src/test/java/sandpaddle/story/Program.java
+++ b/gateway/src/test/java/sandpaddle/story/Program.java
@@ -59,7 +59,7 @@
         }
     }
 
-    /** Starts it with a configuration that comes through a pipe, by {@link #tellConfig}; returns before it has read any. */
+    /** Starts it with a configuration that comes through a pipe, by {@link #tellConfig}; it has read none yet. */
     static Program piped() throws IOException, InterruptedException {
         return new Program(null, "", List.of(), List.of());
     }
--- a/gateway/src/test/java/sandpaddle/story/ProgramStories.java
+++ b/gateway/src/test/java/sandpaddle/story/ProgramStories.java
@@ -41,7 +41,7 @@
         }
     }
 
-    /** Guards against the JVM's own answer to SIGHUP, which is to end, in the instant in which the configuration is read. */
+    /** Guards against the JVM's own answer to SIGHUP, which is to end, while the configuration is read. */
     @Test
     public void aHangUpBeforeTheConfigurationIsReadIsHeardOnceThereIsAServer() throws Exception {
         try (var engine = new ScriptedEngine(c -> ok("1st\t\t\n")); var feed = new ScriptedFeed();
