--- a/gateway/src/main/java/sandpaddle/fleet/node/outage/LoopFetching.java
+++ b/gateway/src/main/java/sandpaddle/fleet/node/outage/LoopFetching.java
@@ -49,7 +49,7 @@
             }
             Query q = new Query(key.cls(), "%016x".formatted(random.nextLong()),
                     Micros.span(site.classes().get(cls).limitUs()), Micros.span(workUs), 0, -1, key.statement(), "",
-                    false, TENANT, key.user());
+                    false, TENANT, key.user(), "", "");
             to.submit(q, a -> done.accept(a instanceof Answer.Served s ? Optional.of(s.rows()) : Optional.empty()));
         });
         wake.run();
--- a/gateway/src/test/java/sandpaddle/http/CopiedAnswerTest.java
+++ b/gateway/src/test/java/sandpaddle/http/CopiedAnswerTest.java
@@ -12,7 +12,7 @@
 
     /**
      * Guards a query against the rows of the one before it: the copy was read as the answer to the next call, and the
-     * last answer stands still on its way, on an engine that hangs, when the connection is quiet enough to be used again.
+     * last answer stands still on its way, on an engine that hangs, when the connection is quiet enough for another.
      */
     @Test
     public void aConnectionWithAnAnswerStillToComeServesNoOtherQuery() throws Exception {
--- a/gateway/src/test/java/sandpaddle/serve/FleetRig.java
+++ b/gateway/src/test/java/sandpaddle/serve/FleetRig.java
@@ -125,7 +125,7 @@
     /** A query that is taken, named by its trace. */
     Dispatcher.Ticket submit(String trace, int cls, String tenant) {
         Query query = new Query(cls == 0 ? "lookup" : "load", trace, Duration.ofSeconds(2), Duration.ZERO, 0, -1,
-                new byte[0], "", false, tenant, "");
+                new byte[0], "", false, tenant, "", "", "");
         answers.put(trace, new ArrayList<>());
         return dispatcher.submit(query, answers.get(trace)::add);
     }
