Idle clients that fill the descriptors keep nothing from a list that returns: tested with a real limit

Need: while discovery is down idle clients may take every descriptor; the list, the configuration, probes and attempts in flight must not want for one, and a client with a request must be served when the list is back. No test held that. Change: a story starts the program with 128 descriptors, takes the list away, holds 384 connections open, moves the list by SIGHUP, and asks. No fault was found.

--- a/gateway/src/test/java/sandpaddle/story/Program.java
+++ b/gateway/src/test/java/sandpaddle/story/Program.java
@@ -37,6 +37,18 @@
     /** The same with options of the command {@code serve}. */
     Program(String config, String ignored, List<String> flags, List<String> options)
             throws IOException, InterruptedException {
+        this(config, flags, options, ignored.isEmpty() ? "" : "trap '' " + ignored + "; ");
+    }
+
+    /** With so many descriptors for its sockets; what it is loaded from here, unlike in service, comes beside. */
+    static Program within(String config, int descriptors) throws IOException, InterruptedException {
+        int loaded = System.getProperty("java.class.path").split(File.pathSeparator).length;
+        return new Program(config, List.of(), List.of(), "ulimit -n " + (descriptors + loaded) + "; ");
+    }
+
+    /** {@code before}: what the shell does first. */
+    private Program(String config, List<String> flags, List<String> options, String before)
+            throws IOException, InterruptedException {
         if (config == null) {
             new ProcessBuilder("mkfifo", file.toString()).start().waitFor();
         } else {
@@ -48,7 +60,7 @@
         java.addAll(List.of("-cp", System.getProperty("java.class.path"), "sandpaddle.app.Main", "serve"));
         java.addAll(options);
         List<String> command = new ArrayList<>(List.of("sh", "-c",
-                (ignored.isEmpty() ? "" : "trap '' " + ignored + "; ") + "exec \"$@\"", "sh"));
+                before + "exec \"$@\"", "sh"));
         command.addAll(java);
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("BALANCER_CONFIG", file.toString());
@@ -61,7 +73,7 @@
 
     /** Starts it with a configuration that comes through a pipe, by {@link #tellConfig}; it has read none yet. */
     static Program piped() throws IOException, InterruptedException {
-        return new Program(null, "", List.of(), List.of());
+        return new Program(null, List.of(), List.of(), "");
     }
 
     /** Waits until it reads its configuration, does something in that instant, and lets it read. */
--- a/gateway/src/test/java/sandpaddle/story/ProgramStories.java
+++ b/gateway/src/test/java/sandpaddle/story/ProgramStories.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertTrue;
 import static sandpaddle.story.ScriptedEngine.ok;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
@@ -76,6 +78,44 @@
         }
     }
 
+    /** Guards the way to the list, to the configuration and to engines against clients that only hold their connection. */
+    @Test
+    public void idleClientsThatFillTheDescriptorsKeepNothingFromAListThatReturns() throws Exception {
+        int most = 128;
+        List<Client> idle = new ArrayList<>();
+        try (var engine = new ScriptedEngine(c -> ok("1st\t\t\n")); var next = new ScriptedFeed();
+                var feed = new ScriptedFeed();
+                var program = Program.within(config(feed.port(), "").replace("\"sockets\":512",
+                        "\"sockets\":" + most), most)) {
+            feed.accept();
+            feed.close(); // discovery is down
+            for (int i = 0; i < 3 * most; i++) {
+                idle.add(new Client(program.address()));
+            }
+            program.replaceConfig(config(next.port(), ""));
+            program.signal("HUP");
+            var link = next.accept();
+            assertEquals(link.subscription(), "SUB 0");
+            link.line(Stage.event(1, true, Stage.host("e", engine, "Ready")));
+            String answer = "";
+            for (int i = 0; i < 1000 && !answer.equals("1st||"); i++) {
+                try (Client client = new Client(program.address())) { // told 1040 until one has been idle for 100 ms
+                    answer = client.answerOrGreeting();
+                    if (answer.isEmpty()) {
+                        client.write(Client.login());
+                        client.answer();
+                        answer = client.ask(Stage.fields("lookup", i, 5000) + SQL);
+                    }
+                }
+            }
+            assertEquals(answer, "1st||");
+        } finally {
+            for (Client c : idle) {
+                c.close();
+            }
+        }
+    }
+
     /** Ids as long as an operator may make them; all are served by one engine. */
     private static String hosts(int from, int to, ScriptedEngine engine, String health) {
         return IntStream.range(from, to).mapToObj(i -> Stage.host("engine-of-the-query-fleet-%08d-%s".formatted(i,
