A repeat counts in its budget as long as it may be written

Cause, by reading for crossings: rule 7 counts what is transmitted in a span, the module what it has decided on. A repeat whose connection comes up late is written up to the connect time-out (250 ms) after its decision, past the 50 ms of slack, so that a span could hold those of two (Repeats.budgetAllows).

--- a/gateway/src/test/java/sandpaddle/decide/DecideTest.java
+++ b/gateway/src/test/java/sandpaddle/decide/DecideTest.java
@@ -199,6 +199,31 @@
         site.end();
     }
 
+    /** Rule 7 counts what is written: a repeat whose connection comes up late stands in the next span too. */
+    @Test
+    void aRepeatCountsAsLongAsItMayBeWritten() {
+        Site.Spec spec = new Site.Spec(); // 2 further attempts and 0.2 for each request taken, 250 ms to connect
+        spec.budgetSpanUs = S;
+        Site site = site(spec, 5);
+        for (int i = 0; i < 2; i++) {
+            String id = site.take(0);
+            site.answer(id, Gateway.Result.ERROR);
+            assertEquals(2, site.attempts(id));
+            site.answer(id, Gateway.Result.OK);
+        }
+        site.pass(1050 * MS);
+        String early = site.take(0);
+        site.answer(early, Gateway.Result.ERROR);
+        assertEquals(1, site.attempts(early), "two may have been written within the last second");
+        assertTrue(site.refused(early));
+        site.pass(300 * MS);
+        String later = site.take(0);
+        site.answer(later, Gateway.Result.ERROR);
+        assertEquals(2, site.attempts(later));
+        site.answer(later, Gateway.Result.OK);
+        site.end();
+    }
+
     @Test
     void drainStopsOnBeingTold() {
         Site site = site(new Site.Spec(), 2);
