Closed connections give their descriptors back within the turn: SIGHUP no longer fails under a flood of clients

The log: "configuration not taken over: BALANCER_CONFIG names ..., which cannot be read: ... Too many open files", and "cannot accept: Too many open files" beside it. Cause: a channel that is closed keeps its descriptor until its selector lets the cancelled key go, at the next select. A turn takes up to 64 connections and closes a resting one for each, so that up to 64 descriptors stood beside all shares; the 28 kept back have room for some ten (Connection.close, Acceptor.ready, Server.endOfTurn). Ruled out: the clients' share (held, 66 sessions); the test's own limit (counted from what is open once it listens). Change: Loop counts what is closed and has the selector let go after six, and before the files are read. What it finds ready on the way is served in the next turn.

--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -132,6 +132,7 @@
         }
         if (reloadAsked) {
             reloadAsked = false;
+            loop.release(); // files need descriptors
             reloadOperator();
             reload();
         }
--- a/gateway/src/main/java/sandpaddle/net/Connection.java
+++ b/gateway/src/main/java/sandpaddle/net/Connection.java
@@ -147,6 +147,7 @@
             } catch (IOException e) {
                 // nothing is left to be done for it
             }
+            loop.closed();
         }
     }
 
@@ -164,7 +165,7 @@
 
     @Override
     public void ready(SelectionKey ready) throws IOException {
-        if (ready.isConnectable()) {
+        if (ready.isConnectable() && !up) { // one may be told ready twice
             channel.finishConnect();
             up = true;
             interest();
--- a/gateway/src/main/java/sandpaddle/net/Loop.java
+++ b/gateway/src/main/java/sandpaddle/net/Loop.java
@@ -36,6 +36,8 @@
 
     private static final int READ_BYTES = 64 * 1024;
     private static final int LOOK_BYTES = 16 * 1024;
+    /** Channels that were closed keep their descriptors until the selector lets them go: so many at most. */
+    private static final int MOST_CLOSED = 6;
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(1);
 
     private final Selector selector;
@@ -45,6 +47,7 @@
     private final ByteBuffer looked = ByteBuffer.allocateDirect(LOOK_BYTES);
     private Instant now;
     private boolean again, stopped;
+    private int closed; // since the selector last let go what was closed
 
     public Loop(Clock system) throws IOException {
         selector = Selector.open();
@@ -77,6 +80,26 @@
         return channel.register(selector, ops, handler);
     }
 
+    /** A channel of this loop was closed. */
+    void closed() {
+        if (++closed >= MOST_CLOSED) {
+            release();
+        }
+    }
+
+    /** Gives the descriptors of closed channels back now: before one is needed in the turn that closed them. */
+    public void release() {
+        if (closed > 0) {
+            closed = 0;
+            again = true; // what it finds ready is served in the next turn
+            try {
+                selector.selectNow();
+            } catch (IOException e) {
+                Logger.warn("cannot let closed connections go: {}", e.toString());
+            }
+        }
+    }
+
     @Override
     public void again() {
         again = true;
@@ -109,6 +132,7 @@
         } else {
             selector.select((waitUs + 999) / 1000); // rounded up: a timer never runs early
         }
+        closed = 0;
         now = clock.now();
         List<SelectionKey> ready = new ArrayList<>(selector.selectedKeys());
         selector.selectedKeys().clear();
