--- a/lab/src/test/java/sandpaddle/lab/VirtualWorld.java
+++ b/lab/src/test/java/sandpaddle/lab/VirtualWorld.java
@@ -168,8 +168,8 @@
                 o.end(new AttemptEnd.NotConnected("refused"));
                 return;
             }
-            String[] words = new String(o.order.statement(), StandardCharsets.US_ASCII).split(" ");
-            Site.Kind kind = kind(o.order.route());
+            String[] words = new String(o.order.query().statement(), StandardCharsets.US_ASCII).split(" ");
+            Site.Kind kind = kind(o.order.query().route());
             Long told = leaving.get(id);
             drainBreaks += told != null && us() > told + DRAIN_US ? 1 : 0;
             if (!model.begin(us(), o.order.trace(), Long.parseLong(words[1]), kind.threads(), kind.cpu(),
