--- a/docs/measurements/rare-moments/table.py
+++ b/docs/measurements/rare-moments/table.py
@@ -17,7 +17,7 @@
             days[day.group(1).replace("+mass", "").replace("+brink", "")] = (float(day.group(2)), day.group(3))
     if not days:
         continue
-    panel = "brink" if "brink" in run["panel"] else "later" if "later" in run["argv"] else (
+    panel = "brink" if "brink" in (run["panel"] or "") else "later" if "later" in run["argv"] else (
         "quick" if "--quick" in run["argv"] else "full" if len(days) > 3 else "day")
     broken = sorted(d for d, (_, rest) in days.items() if "BROKEN" in rest)
     worst = min(days, key=lambda d: days[d][0])
