--- a/gateway/src/main/java/sandpaddle/net/Acceptor.java
+++ b/gateway/src/main/java/sandpaddle/net/Acceptor.java
@@ -75,11 +75,13 @@
         }
     }
 
-    /** Those that were taken by the system before are taken first: a close would reset them. */
+    /** Those that were taken by the system before are taken first, as many as it holds: a close would reset them. */
     public void close() {
         try {
-            for (SocketChannel c = channel.accept(); c != null; c = channel.accept()) {
+            SocketChannel c = channel.accept();
+            for (int i = 1; c != null; i++) {
                 take(c);
+                c = i < BACKLOG ? channel.accept() : null;
             }
         } catch (IOException e) {
             Logger.warn("cannot accept: {}", e.toString());
--- a/gateway/src/test/java/sandpaddle/crossing/Caller.java
+++ b/gateway/src/test/java/sandpaddle/crossing/Caller.java
@@ -6,9 +6,9 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import sandpaddle.story.Client;
 
 /** A client whose every byte the test plays; nothing of it waits. */
 final class Caller implements AutoCloseable {
@@ -163,26 +163,15 @@
     }
 
     static byte[] login() {
-        ByteArrayOutputStream o = new ByteArrayOutputStream();
-        int caps = 0x200 | 0x8 | 0x8000 | 0x80000;
-        o.writeBytes(new byte[] {(byte) caps, (byte) (caps >> 8), (byte) (caps >> 16), 0, 0, 0, 0, 1, 45});
-        o.writeBytes(new byte[23]);
-        o.writeBytes("app\0\0core\0mysql_native_password\0".getBytes(StandardCharsets.US_ASCII));
-        return packet(1, o.toByteArray());
+        return Client.login();
     }
 
     static byte[] packet(int seq, byte[] payload) {
-        byte[] b = new byte[payload.length + 4];
-        for (int i = 0; i < 3; i++) {
-            b[i] = (byte) (payload.length >> 8 * i);
-        }
-        b[3] = (byte) seq;
-        System.arraycopy(payload, 0, b, 4, payload.length);
-        return b;
+        return Client.packet(seq, payload);
     }
 
     static byte[] query(String text) {
-        return packet(0, ("\3" + text).getBytes(StandardCharsets.ISO_8859_1));
+        return Client.query(text);
     }
 
     static byte[] query(String route, int trace, int patienceMs) {
--- a/gateway/src/test/java/sandpaddle/story/Client.java
+++ b/gateway/src/test/java/sandpaddle/story/Client.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A client of the MySQL protocol that blocks. */
-final class Client implements AutoCloseable {
+public final class Client implements AutoCloseable {
     private static final int EOF = 0xFE;
     private static final int ERR = 0xFF;
 
@@ -39,7 +39,7 @@
 
     int id;
 
-    static byte[] login() {
+    public static byte[] login() {
         ByteArrayOutputStream o = new ByteArrayOutputStream();
         int caps = 0x200 | 0x8 | 0x8000 | 0x80000;
         o.writeBytes(new byte[] {(byte) caps, (byte) (caps >> 8), (byte) (caps >> 16), 0, 0, 0, 0, 1, 45});
@@ -48,7 +48,7 @@
         return packet(1, o.toByteArray());
     }
 
-    static byte[] packet(int seq, byte[] payload) {
+    public static byte[] packet(int seq, byte[] payload) {
         byte[] b = new byte[payload.length + 4];
         for (int i = 0; i < 3; i++) {
             b[i] = (byte) (payload.length >> 8 * i);
@@ -62,7 +62,7 @@
         return packet(0, ((char) command + text).getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    static byte[] query(String text) {
+    public static byte[] query(String text) {
         return command(3, text);
     }
 
