Log each retry with the end before it, and each step of the wall clock

Change: an INFO line for each retry, with the previous engine, how that attempt ended and why; debug lines say why an attempt was cancelled or ended, and for how long its engine was not reached. A warning when the wall clock moves by 100 ms or more against the monotonic clock.

--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -36,6 +36,7 @@
     private static final int OTHER_DESCRIPTORS = 28; // 13 of the JVM, listener, discovery, a file being reread
 
     private final Clock clock;
+    private final WallClockMonitor wallClockMonitor;
     private final EventLoop loop;
     private final HttpEngineClient engines;
     private final Dispatcher dispatcher;
@@ -84,6 +85,7 @@
     public Server(ConfigSource configSource, OperatorSource operatorSource, OperatorFile operatorFile, Clock clock)
             throws IOException, InvalidFieldException {
         this.clock = clock;
+        wallClockMonitor = new WallClockMonitor(clock, System::nanoTime);
         this.configSource = configSource;
         this.operatorSource = operatorSource;
         this.operatorFile = operatorFile;
@@ -167,6 +169,7 @@
     }
 
     private void endOfTurn() {
+        wallClockMonitor.check();
         if (aborted) {
             frontends.forEach(Frontend::stopListening);
             loop.stop();
--- a/gateway/src/main/java/sandpaddle/dispatch/ActionExecutor.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/ActionExecutor.java
@@ -78,7 +78,7 @@
     private void cancelAttempt(CancelAttempt cancel) {
         ActiveRequest request = requests.get(cancel.id());
         if (request != null && request.isInFlight(cancel.attempt())) {
-            request.cancelAttempt();
+            request.cancelAttempt("decided by the module");
         }
     }
 
--- a/gateway/src/main/java/sandpaddle/dispatch/ActiveRequest.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/ActiveRequest.java
@@ -7,6 +7,7 @@
 import sandpaddle.eventloop.TimerQueue;
 import sandpaddle.overload.OverloadController;
 import sandpaddle.query.Answer;
+import sandpaddle.query.AttemptEnd;
 import sandpaddle.query.EngineClient;
 import sandpaddle.query.Query;
 
@@ -35,6 +36,7 @@
     private boolean queued;
     private EngineClient.AttemptHandle attemptInFlight;
     private String engine;
+    private AttemptEnd lastEnd;
 
     /**
      * Creates a request that is not queued yet.
@@ -138,13 +140,24 @@
         attemptInFlight = attempt;
     }
 
-    void attemptEnded() {
+    void attemptEnded(AttemptEnd end) {
         attemptInFlight = null;
+        lastEnd = end;
     }
 
-    /** Cancels the attempt in flight, if there is one; does not wait for the engine if the request has its answer. */
-    void cancelAttempt() {
+    /** How the latest attempt that was started ended; null while none has. */
+    AttemptEnd lastEnd() {
+        return lastEnd;
+    }
+
+    /**
+     * Cancels the attempt in flight, if there is one; does not wait for the engine if the request has its answer.
+     *
+     * @param reason for logs
+     */
+    void cancelAttempt(String reason) {
         if (attemptInFlight != null) {
+            RequestLog.attemptCancelled(this, reason);
             attemptInFlight.cancel(isAnswered());
         }
     }
--- a/gateway/src/main/java/sandpaddle/dispatch/ActiveRequests.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/ActiveRequests.java
@@ -174,7 +174,7 @@
         List<ActiveRequest> ended = List.copyOf(abandoned);
         abandoned.clear();
         ended.forEach(request -> {
-            request.cancelAttempt();
+            request.cancelAttempt("answered without the module, or its client disconnected");
             removeIfDone(request);
         });
     }
--- a/gateway/src/main/java/sandpaddle/dispatch/AttemptRunner.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/AttemptRunner.java
@@ -61,6 +61,9 @@
         AttemptSpec spec = spec(request, action);
         admission.attemptStarted(request);
         RequestLog.attemptStarted(request, number, action.engine());
+        if (request.lastEnd() != null) {
+            RequestLog.retried(request, number, action.engine(), loop.now());
+        }
         request.setEngine(action.engine());
         requests.setQueued(request, false);
         RunningAttempt running = new RunningAttempt(request, number, action.engine(), spec.isFinal());
@@ -135,7 +138,7 @@
         @Override
         public void onEnd(AttemptEnd end) {
             ended = true;
-            request.attemptEnded();
+            request.attemptEnded(end);
             Duration elapsed = Duration.between(startedAt, loop.now());
             RequestLog.attemptEnded(request, number, engine, end, elapsed);
             AttemptResult result = ResultMapping.result(end);
--- a/gateway/src/main/java/sandpaddle/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/Dispatcher.java
@@ -264,7 +264,7 @@
         for (String id : fleet.attemptsOverQuota(inFlight)) {
             ActiveRequest request = requests.get(id);
             if (request != null) {
-                request.cancelAttempt();
+                request.cancelAttempt("over the fleet's quota");
             }
         }
     }
--- a/gateway/src/main/java/sandpaddle/dispatch/RequestLog.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/RequestLog.java
@@ -9,8 +9,8 @@
 import sandpaddle.query.AttemptEnd;
 
 /**
- * Debug log of the steps of each request, with its trace id on each line. Costs only the check of a flag while debug
- * lines are off. The keys and the messages are read by scripts; docs/operators/rare-moments.md explains them.
+ * Log of the steps of each request, with its trace id on each line: retries at level INFO, all other steps at level
+ * DEBUG, which cost only the check of a flag while debug lines are off. The keys and the messages are read by scripts; docs/operators/rare-moments.md explains them.
  */
 final class RequestLog {
     private static final long US_PER_MS = 1000;
@@ -61,6 +61,25 @@
         }
     }
 
+    /** Logs that a request is retried, with the end of its previous attempt. */
+    static void retried(ActiveRequest request, int attempt, String engine, Instant now) {
+        attemptLine(request, "retried", attempt, engine)
+                .with("previous", request.engine())
+                .with("after", request.lastEnd().getClass().getSimpleName())
+                .with("why", ResultMapping.reason(request.lastEnd()))
+                .with("ms", request.age(now).toMillis())
+                .info();
+    }
+
+    /** Logs that the attempt in flight is cancelled, and why. */
+    static void attemptCancelled(ActiveRequest request, String reason) {
+        if (LogEvent.isDebugOn()) {
+            attemptLine(request, "attempt cancelled", request.attempts() - 1, request.engine())
+                    .with("why", reason)
+                    .debug();
+        }
+    }
+
     static void engineUnreachable(ActiveRequest request, int attempt, String engine) {
         if (LogEvent.isDebugOn()) {
             attemptLine(request, "engine unreachable", attempt, engine).debug();
@@ -71,6 +90,7 @@
         if (LogEvent.isDebugOn()) {
             LogEvent event = attemptLine(request, "attempt ended", attempt, engine)
                     .with("end", end.getClass().getSimpleName())
+                    .with("why", ResultMapping.reason(end))
                     .with("ms", elapsed.toMillis());
             String stats = ResultMapping.stats(end);
             if (stats != null) {
--- a/gateway/src/main/java/sandpaddle/dispatch/ResultMapping.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/ResultMapping.java
@@ -43,6 +43,18 @@
         return end instanceof AttemptEnd.Failed failed ? failed.stats() : null;
     }
 
+    /** Why an attempt ended without a result, for logs; empty if its kind says all. */
+    static String reason(AttemptEnd end) {
+        if (end instanceof AttemptEnd.NotConnected notConnected) {
+            return notConnected.reason();
+        } else if (end instanceof AttemptEnd.NotStarted notStarted) {
+            return notStarted.reason();
+        } else if (end instanceof AttemptEnd.Failed failed) {
+            return failed.reason();
+        }
+        return end instanceof AttemptEnd.ConnectionLost lost ? lost.reason() : "";
+    }
+
     static AttemptResult result(HealthCheckResult.Kind kind) {
         return switch (kind) {
             case HEALTHY -> AttemptResult.OK;
--- a/gateway/src/main/java/sandpaddle/engineclient/EngineReachability.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/EngineReachability.java
@@ -65,6 +65,11 @@
         return lastReachedAt.plus(DROPPED_AFTER).isBefore(now);
     }
 
+    /** Time since the engine was last reached. */
+    Duration unreachedFor(Instant now) {
+        return Duration.between(lastReachedAt, now);
+    }
+
     /** Whether to report the engine as unreachable: once until it responds again. */
     boolean isNewlyUnreachable(ConnectFailure failure) {
         boolean first = failure.isEngineFault() && !unreachableReported;
--- a/gateway/src/main/java/sandpaddle/engineclient/QueryCalls.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/QueryCalls.java
@@ -165,8 +165,13 @@
 
     /** Polls after {@link #RECONNECT_INTERVAL}, unless the engine has died or must have dropped the query by now. */
     void pollLater(int page, ConnectFailure failure, String reason) {
-        if (reachability.hasDied(failure) || reachability.hasDroppedQuery(loop.now())) {
-            listener.onQueryLost(reason);
+        if (reachability.hasDied(failure)) {
+            listener.onQueryLost("engine has died: " + reason);
+            return;
+        }
+        if (reachability.hasDroppedQuery(loop.now())) {
+            listener.onQueryLost(
+                    "not reached for " + reachability.unreachedFor(loop.now()).toMillis() + " ms: " + reason);
             return;
         }
         if (reachability.isNewlyUnreachable(failure)) {
