Estimate engines' starts from the list alone: a wrong wall clock took cold for warm

Callers saw: on a gateway whose wall clock was 1 h ahead, an engine that had just started got 555 attempts in its first second, where slow start allows 63 (rule failback). With the clock behind, such an engine stays at its least share for as long as the clock is behind.

Cause: born_ms of the endpoint list, a time by another machine's clock, was compared with this machine's time.

Change: EngineStartTimes never compares the two. No engine is listed before it has started, so the latest listed start is a lower bound on the list's clock; an estimate is never before the true start, and late by at most the listing delay. The start as listed stays the identity of a process (EngineEntry.listedStartUs), also in what gateways tell each other. Cost: after a start of the gateway, engines that started within 15 s of the newest one listed warm up once more.

Evidence: WallClockStepIntegrationTest.startedEngineIsNotOverloaded... failed before with 555 attempts for a clock 1 h ahead (3 s ahead and both clocks behind passed), passes now for all four.

--- a/gateway/src/main/java/sandpaddle/decision/model/EngineRegistry.java
+++ b/gateway/src/main/java/sandpaddle/decision/model/EngineRegistry.java
@@ -40,7 +40,7 @@
         List<EngineState> started = new ArrayList<>();
         for (EngineEntry entry : event.entries()) {
             EngineState engine = engines.computeIfAbsent(entry.id(), this::create);
-            if (engine.entry() == null || engine.entry().startedUs() != entry.startedUs()) {
+            if (engine.entry() == null || !engine.entry().isSameProcessAs(entry)) {
                 started.add(engine);
             }
             engine.update(entry, zones.computeIfAbsent(entry.zone(), EngineRegistry::createZone));
--- a/gateway/src/main/java/sandpaddle/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/Dispatcher.java
@@ -92,7 +92,7 @@
         events = new EventQueue(loop, names.loadReportFields());
         requests = new ActiveRequests(loop, settings, admission, events, fleet);
         storedAnswerLookups = new StoredAnswerLookups(fleet);
-        endpointList = new EndpointListHandler(engines, admission, fleet, events);
+        endpointList = new EndpointListHandler(loop, engines, admission, fleet, events);
         AttemptRunner attempts = new AttemptRunner(loop, engines, fleet, admission, requests, events);
         executor = new ActionExecutor(loop, engines, fleet, requests, events, attempts);
     }
--- a/gateway/src/main/java/sandpaddle/dispatch/EndpointListHandler.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/EndpointListHandler.java
@@ -10,6 +10,7 @@
 import sandpaddle.decision.event.EngineListKind;
 import sandpaddle.decision.event.EngineListReceived;
 import sandpaddle.decision.event.EngineStatus;
+import sandpaddle.eventloop.Scheduler;
 import sandpaddle.query.EngineClient;
 import sandpaddle.query.FleetCoordination;
 
@@ -25,9 +26,17 @@
     private final AdmissionControl admission;
     private final FleetCoordination fleet;
     private final EventQueue events;
+    private final Scheduler loop;
+    private final EngineStartTimes startTimes = new EngineStartTimes();
     private boolean fullListReceived;
 
-    EndpointListHandler(EngineClient engines, AdmissionControl admission, FleetCoordination fleet, EventQueue events) {
+    EndpointListHandler(
+            Scheduler loop,
+            EngineClient engines,
+            AdmissionControl admission,
+            FleetCoordination fleet,
+            EventQueue events) {
+        this.loop = loop;
         this.engines = engines;
         this.admission = admission;
         this.fleet = fleet;
@@ -59,7 +68,7 @@
             engines.updateEngine(
                     entry.id(),
                     engine.address(),
-                    Micros.instant(entry.startedUs()),
+                    Micros.instant(entry.listedStartUs()),
                     entry.status() == EngineStatus.UP,
                     entry.status() == EngineStatus.REMOVED);
             entries.add(entry);
@@ -67,7 +76,7 @@
         if (event.fullList()) {
             engines.retainEngines(entries.stream().map(EngineEntry::id).collect(Collectors.toSet()));
         }
-        return entries;
+        return startTimes.estimate(entries, event.fullList(), loop.now());
     }
 
     /** The first complete list counts as cached: it may be the one in the configuration. */
--- a/gateway/src/main/java/sandpaddle/fleet/node/evidence/EvidenceExchange.java
+++ b/gateway/src/main/java/sandpaddle/fleet/node/evidence/EvidenceExchange.java
@@ -136,7 +136,7 @@
                 listedEngines.put(
                         entry.id(),
                         new ListedEngine(
-                                entry.id(), zoneName, entry.startedUs(), entry.status() == EngineStatus.DRAINING));
+                                entry.id(), zoneName, entry.listedStartUs(), entry.status() == EngineStatus.DRAINING));
             }
         }
         verdicts.updateEngines(change.nowUs(), listedEngines.values());
--- a/gateway/src/main/java/sandpaddle/overload/EngineCapacityEstimator.java
+++ b/gateway/src/main/java/sandpaddle/overload/EngineCapacityEstimator.java
@@ -26,6 +26,7 @@
     private static final class ListedEngine {
         private double cores;
         private long startedAtUs;
+        private long listedStartUs;
         private boolean up;
         private int consecutiveUnreachable; // attempts that could not connect or were reset
     }
@@ -49,9 +50,10 @@
         }
         for (EngineEntry entry : entries) {
             ListedEngine engine = engines.computeIfAbsent(entry.id(), k -> new ListedEngine());
-            boolean startedAnew = engine.startedAtUs != entry.startedUs();
+            boolean startedAnew = engine.listedStartUs != entry.listedStartUs();
             engine.consecutiveUnreachable = startedAnew ? 0 : engine.consecutiveUnreachable;
             engine.startedAtUs = entry.startedUs();
+            engine.listedStartUs = entry.listedStartUs();
             engine.up = entry.status() == EngineStatus.UP;
             engine.cores = cores(entry);
         }
--- a/gateway/src/test/java/sandpaddle/integration/WallClockStepIntegrationTest.java
+++ b/gateway/src/test/java/sandpaddle/integration/WallClockStepIntegrationTest.java
@@ -32,6 +32,11 @@
     /** A final answer that comes later than this after the deadline is a lost request. */
     private static final Duration MAX_LATENESS = Duration.ofMillis(500);
 
+    /** N + 2 x root of N + 2, where N queries of 200 ms of work are 4 times what 0.3 of 8 cores do in a second: 48. */
+    private static final int MAX_ATTEMPTS_ON_STARTED_ENGINE = 63;
+
+    private static final int CLIENTS = 60;
+
     private static final String SETTINGS = GatewayFixture.SETTINGS
             .replace("\"classes\":[", """
             "classes":[{"name":"window","aim_us":4000000,"effect":"keyed","key_scope":"all","window_us":400000,
@@ -52,11 +57,11 @@
             first = new ScriptedEngine(call -> respond(call, script));
             second = new ScriptedEngine(call -> respond(call, script));
             String hosts = GatewayFixture.host("e0", first, "Ready") + "," + GatewayFixture.host("e1", second, "Ready");
-            process = GatewayProcess.startWithWallClock(config(GatewayFixture.event(1, true, hosts)), clock);
+            process = GatewayProcess.startWithWallClock(config(feed, GatewayFixture.event(1, true, hosts)), clock);
             client = Client.connect(process.address());
         }
 
-        private String config(String event) {
+        static String config(ScriptedFeed feed, String event) {
             return """
                     {"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",
                     "limits":{"cores":1.0,"memory_mb":144,"sockets":512},"feed":"127.0.0.1:%d",
@@ -219,4 +224,38 @@
             assertTrue(elapsed.compareTo(killedAfter) < 0, "ended after " + elapsed);
         }
     }
+
+    /** The gateway starts on a machine whose wall clock is wrong, with an engine that has started just before. */
+    @Test(dataProvider = "steps")
+    public void startedEngineIsNotOverloadedWhenWallClockIsWrongFromTheStart(Duration error) throws Exception {
+        try (SteppedWallClock clock = new SteppedWallClock();
+                ScriptedFeed feed = new ScriptedFeed();
+                ScriptedEngine engine = new ScriptedEngine(call -> ok("1st\t\t\n"))) {
+            clock.set(error);
+            String host = GatewayFixture.host("e0", engine, "Ready", System.currentTimeMillis());
+            try (GatewayProcess process = GatewayProcess.startWithWallClock(
+                    Fixture.config(feed, GatewayFixture.event(1, true, host)), clock)) {
+                for (int i = 0; i < CLIENTS; i++) {
+                    Client client = Client.connect(process.address());
+                    int number = i;
+                    ScriptedEngine.daemon(() -> sendQueries(client, number));
+                }
+                await(Duration.ofSeconds(1));
+                long attempts = engine.count("POST");
+                assertTrue(attempts > 0 && attempts <= MAX_ATTEMPTS_ON_STARTED_ENGINE, attempts + " attempts");
+            }
+        }
+    }
+
+    /** Sends queries of 200 ms of work, one after the other, until the gateway ends the connection. */
+    private static void sendQueries(Client client, int clientNumber) {
+        try (client) {
+            for (int i = 0; ; i++) {
+                String comment = GatewayFixture.queryComment("lookup", clientNumber << 16 | i, 2000);
+                client.execute(comment.replace("weight=20.0", "weight=200.0") + SQL);
+            }
+        } catch (IOException e) {
+            // the gateway was ended by the test
+        }
+    }
 }
