Event loop runs on the monotonic clock: deadlines and waits moved with the wall clock

With the clock set back: a keyed request retried after its deduplication window, no answer at the deadline, no end after SIGTERM.

Cause: MonotonicUnixClock was the system's Unix clock, held while it was behind. A step forward ended every wait at once: an engine polled 0.28 s ago counted as not reached for 2.3 s, which is read as proof that it has dropped the query. A step back stopped every timer until the clock had caught up.

Change: MonotonicTimeSource reads System.nanoTime; its origin is arbitrary, and a java.time.Clock cannot be passed in its place. The lab's processes that write Unix times start it at the present.

--- a/gateway/src/main/java/sandpaddle/app/ServeCommand.java
+++ b/gateway/src/main/java/sandpaddle/app/ServeCommand.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.time.Clock;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -83,7 +82,7 @@
             Server.OperatorSource source = () -> operator == null ? OperatorFile.NONE : OperatorFile.load(operator);
             OperatorFile file = source.load();
             configureLog(file.log());
-            Server server = new Server(new Environment(), source, file, Clock.systemUTC());
+            Server server = new Server(new Environment(), source, file);
             hangUp.setReload(server::reloadConfig);
             if (!isHandled) {
                 Logger.warn("SIGHUP is ignored by this process, as under nohup: "
--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -35,8 +35,7 @@
     private static final int NON_HEAP_MB = 48; // code, classes, stacks and direct buffers take 30 to 35 MB under load
     private static final int OTHER_DESCRIPTORS = 28; // 13 of the JVM, listener, discovery, a file being reread
 
-    private final Clock clock;
-    private final WallClockMonitor wallClockMonitor;
+    private final WallClockMonitor wallClockMonitor = new WallClockMonitor(Clock.systemUTC(), System::nanoTime);
     private final EventLoop loop;
     private final HttpEngineClient engines;
     private final Dispatcher dispatcher;
@@ -68,8 +67,8 @@
     }
 
     /** Creates a gateway without an operator's file. */
-    public Server(ConfigSource configSource, Clock clock) throws IOException, InvalidFieldException {
-        this(configSource, () -> OperatorFile.NONE, OperatorFile.NONE, clock);
+    public Server(ConfigSource configSource) throws IOException, InvalidFieldException {
+        this(configSource, () -> OperatorFile.NONE, OperatorFile.NONE);
     }
 
     /**
@@ -78,19 +77,16 @@
      * @param configSource the platform's configuration
      * @param operatorSource the operator's file for reloads
      * @param operatorFile the operator's file as read for the start
-     * @param clock the system's clock
      * @throws IOException if the address cannot be bound or the fleet node cannot be started
      * @throws InvalidFieldException if the configuration is invalid
      */
-    public Server(ConfigSource configSource, OperatorSource operatorSource, OperatorFile operatorFile, Clock clock)
+    public Server(ConfigSource configSource, OperatorSource operatorSource, OperatorFile operatorFile)
             throws IOException, InvalidFieldException {
-        this.clock = clock;
-        wallClockMonitor = new WallClockMonitor(clock, System::nanoTime);
         this.configSource = configSource;
         this.operatorSource = operatorSource;
         this.operatorFile = operatorFile;
         config = configSource.load();
-        loop = new EventLoop(clock);
+        loop = new EventLoop();
         int maxSessions = config.maxSockets() / CLIENT_SHARE_DIVISOR + EXTRA_SESSIONS;
         int engineSockets = config.maxSockets() - maxSessions - MysqlFrontend.MAX_LINGERING - OTHER_DESCRIPTORS;
         config.warnings().forEach(warning -> Logger.warn("configuration: {}", warning));
@@ -180,7 +176,7 @@
             reloadOperator();
             reload();
         }
-        if (Duration.between(loop.now(), clock.instant()).compareTo(LONG_TURN) >= 0) {
+        if (Duration.between(loop.now(), loop.currentTime()).compareTo(LONG_TURN) >= 0) {
             endpointWatcher.readAvailable();
         }
         dispatcher.processEvents();
--- a/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
@@ -5,7 +5,6 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -63,7 +62,7 @@
     private static final long US_PER_MS = 1000;
 
     private final Selector selector;
-    private final MonotonicUnixClock clock;
+    private final MonotonicTimeSource clock;
     private final TimerQueue timers = new TimerQueue();
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
     private final ByteBuffer readAvailableBuffer = ByteBuffer.allocateDirect(READ_AVAILABLE_BUFFER_BYTES);
@@ -74,11 +73,16 @@
     private boolean stopped;
     private int closedChannels; // since the last select
 
-    /** Opens the selector; the time is read from {@code systemClock}. */
-    public EventLoop(Clock systemClock) throws IOException {
+    /** Opens the selector of a loop that runs in real time. */
+    public EventLoop() throws IOException {
+        this(MonotonicTimeSource.system());
+    }
+
+    /** Opens the selector; the time is read from {@code clock}. */
+    public EventLoop(MonotonicTimeSource clock) throws IOException {
         selector = Selector.open();
-        clock = new MonotonicUnixClock(systemClock);
-        now = clock.now();
+        this.clock = clock;
+        now = clock.instant();
         readableSince = now;
     }
 
@@ -91,7 +95,7 @@
 
     /** The current time of the clock, which advances during a turn. */
     public Instant currentTime() {
-        return clock.now();
+        return clock.instant();
     }
 
     /**
@@ -155,14 +159,15 @@
 
     private void awaitReady(Duration maxWait) throws IOException {
         Instant lastTurn = now;
-        long waitUs = turnRequested ? 0 : timers.untilNext(clock.now(), maxWait).toNanos() / NS_PER_US;
+        long waitUs =
+                turnRequested ? 0 : timers.untilNext(clock.instant(), maxWait).toNanos() / NS_PER_US;
         turnRequested = false;
         selector.selectNow();
         boolean readyAtOnce = !selector.selectedKeys().isEmpty();
         if (!readyAtOnce && waitUs > 0) {
             selector.select((waitUs + US_PER_MS - 1) / US_PER_MS); // rounded up, so that no timer runs early
         }
-        now = clock.now();
+        now = clock.instant();
         readableSince = readyAtOnce ? later(lastTurn, now.minus(MAX_READABLE_AGE)) : now;
     }
 
--- a/gateway/src/main/java/sandpaddle/eventloop/Scheduler.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/Scheduler.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 
-/** The time and the timers of an {@link EventLoop}. Tests implement it with virtual time. */
+/** The monotonic time and the timers of an {@link EventLoop}. Tests implement it with virtual time. */
 public interface Scheduler {
     /** The time at the start of this turn; it never decreases. */
     Instant now();
--- a/gateway/src/test/java/sandpaddle/engineclient/HttpEngineClientTest.java
+++ b/gateway/src/test/java/sandpaddle/engineclient/HttpEngineClientTest.java
@@ -12,11 +12,8 @@
 import java.net.ServerSocket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
@@ -103,7 +100,7 @@
     @Test
     public void drainWhileConnectingPreventsTheWrite() throws Exception {
         try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            EventLoop loop = new EventLoop(Clock.systemUTC());
+            EventLoop loop = new EventLoop();
             HttpEngineClient engines = new HttpEngineClient(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 10);
             InetSocketAddress at = (InetSocketAddress) engine.getLocalSocketAddress();
             engines.updateEngine("e", at, Instant.EPOCH, true, false);
@@ -121,7 +118,7 @@
         try (ServerSocket socket = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             closedPort = (InetSocketAddress) socket.getLocalSocketAddress();
         }
-        EventLoop loop = new EventLoop(Clock.systemUTC());
+        EventLoop loop = new EventLoop();
         HttpEngineClient engines = new HttpEngineClient(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 10);
         engines.updateEngine("e", closedPort, Instant.EPOCH, true, false);
         RecordingListener listener = new RecordingListener();
@@ -133,7 +130,7 @@
     @Test
     public void connectionsAreLimitedByDescriptors() throws Exception {
         try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            EventLoop loop = new EventLoop(Clock.systemUTC());
+            EventLoop loop = new EventLoop();
             HttpEngineClient engines = new HttpEngineClient(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 1);
             engines.updateEngine("e", (InetSocketAddress) engine.getLocalSocketAddress(), Instant.EPOCH, true, false);
             RecordingListener first = new RecordingListener();
@@ -150,7 +147,7 @@
     public void connectionsAreLimitedByTheBudget() throws Exception {
         int[] counts = new int[2]; // open now, released
         try (ServerSocket engine = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            EventLoop loop = new EventLoop(Clock.systemUTC());
+            EventLoop loop = new EventLoop();
             HttpEngineClient engines = new HttpEngineClient(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 10);
             engines.setConnectionBudget(new ConnectionBudget() {
                 @Override
@@ -184,22 +181,7 @@
     @Test
     public void removedEngineIsForgotten() throws Exception {
         Instant[] time = {Instant.parse("2026-01-01T00:00:00Z")};
-        EventLoop loop = new EventLoop(new Clock() {
-            @Override
-            public ZoneId getZone() {
-                return ZoneOffset.UTC;
-            }
-
-            @Override
-            public Clock withZone(ZoneId zone) {
-                return this;
-            }
-
-            @Override
-            public Instant instant() {
-                return time[0];
-            }
-        });
+        EventLoop loop = new EventLoop(() -> time[0]);
         HttpEngineClient engines = new HttpEngineClient(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 10);
         InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), 9);
         for (int i = 0; i < 100; i++) {
--- a/gateway/src/test/java/sandpaddle/integration/AtMostOnceProperties.java
+++ b/gateway/src/test/java/sandpaddle/integration/AtMostOnceProperties.java
@@ -5,11 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -24,6 +21,7 @@
 import sandpaddle.dispatch.Dispatcher;
 import sandpaddle.engineclient.HttpEngineClient;
 import sandpaddle.eventloop.EventLoop;
+import sandpaddle.eventloop.MonotonicTimeSource;
 import sandpaddle.query.Answer;
 import sandpaddle.query.Query;
 
@@ -38,19 +36,9 @@
     private static final int QUERY_COUNT = 90;
     private static final int CLOSED_PORT = 1; // connections are refused
 
-    private static final class VirtualClock extends Clock {
+    private static final class VirtualClock implements MonotonicTimeSource {
         private Instant now = Instant.parse("2026-01-01T00:00:00Z");
 
-        @Override
-        public ZoneId getZone() {
-            return ZoneOffset.UTC;
-        }
-
-        @Override
-        public Clock withZone(ZoneId zone) {
-            return this;
-        }
-
         @Override
         public Instant instant() {
             return now;
--- a/gateway/src/test/java/sandpaddle/integration/GatewayFixture.java
+++ b/gateway/src/test/java/sandpaddle/integration/GatewayFixture.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -73,7 +72,7 @@
             throws IOException, InvalidFieldException {
         configSource = () -> config(feed.port(), initialEvent);
         operatorSource = () -> file;
-        server = new Server(() -> configSource.load(), () -> operatorSource.load(), file, Clock.systemUTC());
+        server = new Server(() -> configSource.load(), () -> operatorSource.load(), file);
         ScriptedEngine.daemon(() -> {
             try {
                 server.run();
--- a/gateway/src/test/java/sandpaddle/integration/ResultNoteIntegrationTest.java
+++ b/gateway/src/test/java/sandpaddle/integration/ResultNoteIntegrationTest.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -39,7 +38,7 @@
     /** Starts a front end with a service that answers each query with {@code nextAnswer}, and logs in. */
     @BeforeMethod
     public void open() throws IOException {
-        loop = new EventLoop(Clock.systemUTC());
+        loop = new EventLoop();
         stopRequested = false;
         loopEnd = new CompletableFuture<>();
         var frontend = new MysqlFrontend(
--- a/gateway/src/test/java/sandpaddle/interleaving/ManualClock.java
+++ b/gateway/src/test/java/sandpaddle/interleaving/ManualClock.java
@@ -1,13 +1,11 @@
 package sandpaddle.interleaving;
 
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
+import sandpaddle.eventloop.MonotonicTimeSource;
 
 /** A clock whose time changes only when the test advances it. */
-public final class ManualClock extends Clock {
+public final class ManualClock implements MonotonicTimeSource {
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
 
     private Instant now = START;
@@ -17,14 +15,9 @@
         now = now.plus(span);
     }
 
-    @Override
-    public ZoneId getZone() {
-        return ZoneOffset.UTC;
-    }
-
-    @Override
-    public Clock withZone(ZoneId zone) {
-        return this;
+    /** The time in milliseconds since the epoch. */
+    public long millis() {
+        return now.toEpochMilli();
     }
 
     @Override
--- a/lab/src/main/java/sandpaddle/lab/AskCommand.java
+++ b/lab/src/main/java/sandpaddle/lab/AskCommand.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Clock;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -43,7 +42,7 @@
 
     @Override
     public Integer call() throws IOException {
-        EventLoop loop = new EventLoop(Clock.systemUTC());
+        EventLoop loop = new EventLoop();
         String trace =
                 String.format(Locale.ROOT, "%016x", ThreadLocalRandom.current().nextLong());
         ClientSession session = new ClientSession(loop, new InetSocketAddress("127.0.0.1", port));
--- a/lab/src/main/java/sandpaddle/lab/FleetExperiment.java
+++ b/lab/src/main/java/sandpaddle/lab/FleetExperiment.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
@@ -13,6 +12,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import sandpaddle.eventloop.EventLoop;
+import sandpaddle.eventloop.MonotonicTimeSource;
 
 /**
  * Runs a fleet of real gateways with a fault-injecting proxy on every link, between stand-in engines and a load
@@ -50,7 +50,7 @@
     FleetExperiment(FleetPlan plan, Events events) throws IOException {
         this.plan = plan;
         this.events = events;
-        loop = new EventLoop(Clock.systemUTC());
+        loop = new EventLoop(MonotonicTimeSource.startingAt(Instant.now()));
         random = new SplittableRandom(plan.seed());
         proxies = new ProxyNetwork(loop, events, random.split());
         files = new FleetFiles(
--- a/lab/src/main/java/sandpaddle/lab/GatewayHarness.java
+++ b/lab/src/main/java/sandpaddle/lab/GatewayHarness.java
@@ -7,8 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,6 +17,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import sandpaddle.eventloop.EventLoop;
+import sandpaddle.eventloop.MonotonicTimeSource;
 
 /**
  * One real gateway process with stand-in engines, a control feed and client sessions around it, for measurements of the
@@ -66,7 +67,7 @@
     private static final double NS_PER_MS = 1e6;
     private static final double US_PER_MS = 1000.0;
 
-    private final EventLoop loop = new EventLoop(Clock.systemUTC());
+    private final EventLoop loop = new EventLoop(MonotonicTimeSource.startingAt(Instant.now()));
     private final ClientStatistics statistics = new ClientStatistics();
     private final Events events = new Events(null);
     private final List<StandInEngine> servers = new ArrayList<>();
--- a/lab/src/main/java/sandpaddle/lab/RetryStormExperiment.java
+++ b/lab/src/main/java/sandpaddle/lab/RetryStormExperiment.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
@@ -11,6 +10,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import sandpaddle.eventloop.EventLoop;
+import sandpaddle.eventloop.MonotonicTimeSource;
 
 /**
  * Kills all engines and restarts them cold, with real gateways between stand-in engines and a load generator, on
@@ -86,7 +86,7 @@
     RetryStormExperiment(Plan plan, Events events) throws IOException {
         this.plan = plan;
         this.events = events;
-        loop = new EventLoop(Clock.systemUTC());
+        loop = new EventLoop(MonotonicTimeSource.startingAt(Instant.now()));
         random = new SplittableRandom(plan.seed);
         EngineModel.Spec standard = EngineModel.Spec.standard();
         spec = new EngineModel.Spec(
--- a/lab/src/main/java/sandpaddle/lab/TryCommand.java
+++ b/lab/src/main/java/sandpaddle/lab/TryCommand.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -15,6 +15,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sandpaddle.eventloop.EventLoop;
+import sandpaddle.eventloop.MonotonicTimeSource;
 
 /**
  * The {@code try} command: runs stand-in engines, a control feed and one gateway in the foreground, for a first look.
@@ -55,7 +56,7 @@
     @Override
     public Integer call() throws IOException {
         Path folder = Files.createTempDirectory("sandpaddle-try");
-        EventLoop loop = new EventLoop(Clock.systemUTC());
+        EventLoop loop = new EventLoop(MonotonicTimeSource.startingAt(Instant.now()));
         List<StandInEngine> engines = new ArrayList<>();
         GatewayProcess[] gateway = new GatewayProcess[1];
         AtomicBoolean ended = new AtomicBoolean();
--- a/lab/src/main/java/sandpaddle/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/sandpaddle/lab/scale/ScaleRun.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
@@ -20,6 +19,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import sandpaddle.eventloop.EventLoop;
+import sandpaddle.eventloop.MonotonicTimeSource;
 import sandpaddle.fleet.member.Member;
 import sandpaddle.lab.ClientStatistics;
 import sandpaddle.lab.Events;
@@ -85,7 +85,7 @@
         this.plan = plan;
         this.fleet = fleet;
         this.events = events;
-        loop = new EventLoop(Clock.systemUTC());
+        loop = new EventLoop(MonotonicTimeSource.startingAt(Instant.now()));
         random = new SplittableRandom(plan.seed());
     }
 
--- a/lab/src/main/java/sandpaddle/lab/scale/SimulationHost.java
+++ b/lab/src/main/java/sandpaddle/lab/scale/SimulationHost.java
@@ -9,7 +9,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
@@ -31,6 +30,7 @@
 import sandpaddle.decision.event.EngineListReceived;
 import sandpaddle.decision.event.EngineStatus;
 import sandpaddle.eventloop.EventLoop;
+import sandpaddle.eventloop.MonotonicTimeSource;
 import sandpaddle.eventloop.Scheduler;
 import sandpaddle.fleet.FleetSettings;
 import sandpaddle.fleet.limit.LimitSpec;
@@ -50,7 +50,7 @@
     private static final double BYTES_PER_MB = 1 << 20;
 
     private final SimulationHostPlan plan;
-    private final EventLoop loop = new EventLoop(Clock.systemUTC());
+    private final EventLoop loop = new EventLoop(MonotonicTimeSource.startingAt(Instant.now()));
     private final Events events;
     private final GatewayConfig config;
     private final FleetSettings fleetSettings;
--- a/lab/src/test/java/sandpaddle/lab/FaultInjectingProxyTest.java
+++ b/lab/src/test/java/sandpaddle/lab/FaultInjectingProxyTest.java
@@ -6,10 +6,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.ZoneOffset;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
@@ -48,22 +46,7 @@
     private FaultInjectingProxy proxy;
 
     FaultInjectingProxyTest() throws IOException {
-        loop = new EventLoop(new Clock() {
-            @Override
-            public Instant instant() {
-                return now;
-            }
-
-            @Override
-            public ZoneOffset getZone() {
-                return ZoneOffset.UTC;
-            }
-
-            @Override
-            public Clock withZone(java.time.ZoneId zone) {
-                return this;
-            }
-        });
+        loop = new EventLoop(() -> now);
         target = new Acceptor(loop, Loopback.at(0), c -> {
             serverConnection = c;
             c.setListener(server);
