Fleet: age of a peer's warm-up report no longer depends on this machine's wall clock

With the wall clock 3 s ahead a start that a peer had reported a second ago counted as 3 s old, 1 h ahead as warm; with it behind, the warm-up began in the future.

Cause: EvidenceExchange compared the engine's start, a time by the list's clock, with System.currentTimeMillis.

Change: the warm-up counts from the report, whose age gateways already bound by monotonic clocks.

--- a/gateway/src/main/java/sandpaddle/fleet/node/evidence/EvidenceExchange.java
+++ b/gateway/src/main/java/sandpaddle/fleet/node/evidence/EvidenceExchange.java
@@ -38,7 +38,6 @@
 public final class EvidenceExchange {
     private record OpenLink(long incarnation, long openedUs) {}
 
-    private static final long MICROS_PER_MS = 1000;
     /** Weight of the newest answer in the moving average of a class's latency: it spans about twenty answers. */
     private static final double SMOOTHING_WEIGHT = 0.05;
 
@@ -183,12 +182,8 @@
             ListedEngine listed = listedEngines.get(verdict.engine());
             boolean isOutdated = listed != null && verdict.engineStartUs() < listed.startedUs();
             if (!isOutdated && (!verdict.kind().ejects() || !verdict.isProber())) {
-                // The warm-up began with the engine's start, which the list gives in platform time.
-                long sinceUs = verdict.kind() == FleetEngineVerdict.Kind.WARMING_UP && verdict.engineStartUs() > 0
-                        ? nowUs + verdict.engineStartUs() - System.currentTimeMillis() * MICROS_PER_MS
-                        : verdict.sinceUs();
                 moduleVerdicts.add(new FleetView.Verdict(
-                        verdict.engine(), conditionOf(verdict.kind()), sinceUs, verdict.untilUs()));
+                        verdict.engine(), conditionOf(verdict.kind()), verdict.sinceUs(), verdict.untilUs()));
             }
         }
         return moduleVerdicts;
--- a/gateway/src/test/java/sandpaddle/app/WallClockUseTest.java
+++ b/gateway/src/test/java/sandpaddle/app/WallClockUseTest.java
@@ -18,7 +18,6 @@
             "app.Server", "passes it to the monitor that logs when it was set",
             "app.WallClockMonitor", "logs when it was set",
             "fleet.node.FleetNode", "draws an incarnation",
-            "fleet.node.evidence.EvidenceExchange", "start of a warm-up that peers report",
             "fleet.node.quota.PoolCoordinator", "policies have conditions on the time of day",
             "fleet.node.outage.OutageService", "outages are scheduled by the calendar",
             "fleet.node.outage.OutageThread", "ages of results that an earlier process stored");
