Fleet: loads reported after a restart with the clock set back were ignored by peers

A gateway that restarts after its wall clock was set back by an hour has a lower incarnation. Its peers then ignored its reports of loads on data groups of which they knew a load from its earlier process, for that hour; during an outage they could serve stored answers from before.

Cause: the incarnation is drawn from the wall clock, and peers replace a record only by one of a later incarnation. Reports that expire were ignored until the lease of the earlier ones had ended, some seconds.

Change: peers already return a gateway's permanent reports after its restart. If they carry a greater incarnation than its own, it continues with a greater one, and renews the reports that it has made. Links and quotas need no change: a link of the earlier process ends with it, and quotas compare incarnations for equality.

--- a/gateway/src/main/java/sandpaddle/fleet/verdict/FleetVerdicts.java
+++ b/gateway/src/main/java/sandpaddle/fleet/verdict/FleetVerdicts.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import sandpaddle.fleet.verdict.evidence.EvidenceBatch;
 import sandpaddle.fleet.verdict.evidence.EvidenceDissemination;
+import sandpaddle.fleet.verdict.evidence.EvidenceMessage;
 import sandpaddle.fleet.verdict.evidence.EvidenceRecord;
 import sandpaddle.fleet.verdict.evidence.EvidenceStore;
 import sandpaddle.fleet.verdict.judge.VerdictEvaluator;
@@ -39,7 +40,7 @@
      *
      * @param self name of this gateway
      * @param zone zone of this gateway
-     * @param incarnation greater than that of any earlier process of this gateway
+     * @param incarnation unlike that of any earlier process of this gateway; should be greater
      * @param settings settings of the verdicts
      * @param drift maximum relative difference between the monotonic clocks of two gateways
      * @param nowUs current time
@@ -134,9 +135,26 @@
 
     /** Merges a peer's batch and returns the number of records that were new. */
     public int batchReceived(long nowUs, String peer, EvidenceBatch batch) {
+        batch.messages().stream()
+                .filter(message -> message.reporter().equals(self))
+                .mapToLong(EvidenceMessage::reporterIncarnation)
+                .max()
+                .ifPresent(known -> outrankEarlierProcess(nowUs, known));
         return dissemination.batchReceived(nowUs, peer, batch);
     }
 
+    /**
+     * Peers ignore evidence of an earlier incarnation. An earlier process of this gateway may have had a greater one:
+     * it is drawn from the wall clock, which may have been set back.
+     */
+    private void outrankEarlierProcess(long nowUs, long knownIncarnation) {
+        long current = observer.incarnation();
+        if (knownIncarnation > current) {
+            observer.setIncarnation(knownIncarnation + 1);
+            evidenceStore.renewIncarnation(self, current, knownIncarnation + 1, nowUs);
+        }
+    }
+
     /** Returns all evidence that this gateway knows. */
     public EvidenceStore evidenceStore() {
         return evidenceStore;
--- a/gateway/src/main/java/sandpaddle/fleet/verdict/evidence/EvidenceRecord.java
+++ b/gateway/src/main/java/sandpaddle/fleet/verdict/evidence/EvidenceRecord.java
@@ -43,6 +43,21 @@
         return reporterIncarnation == other.reporterIncarnation && sequence == other.sequence;
     }
 
+    /** Returns this record as one of a later incarnation of its reporter. */
+    public EvidenceRecord withIncarnation(long incarnation) {
+        return new EvidenceRecord(
+                subject,
+                reporter,
+                incarnation,
+                sequence,
+                finding,
+                engineStartUs,
+                strength,
+                usage,
+                sinceUs,
+                observedAtUs);
+    }
+
     /** Returns this record with another observation time, and with its start lowered to that time if it is later. */
     EvidenceRecord withObservedAt(long timeUs) {
         return new EvidenceRecord(
--- a/gateway/src/main/java/sandpaddle/fleet/verdict/evidence/EvidenceStore.java
+++ b/gateway/src/main/java/sandpaddle/fleet/verdict/evidence/EvidenceStore.java
@@ -248,6 +248,20 @@
         return latest;
     }
 
+    /** Replaces the records of one incarnation of a reporter by equal ones of a later incarnation, for all peers. */
+    public void renewIncarnation(String reporter, long former, long next, long nowUs) {
+        ReporterEvidence ofReporter = recordsByReporter.get(reporter);
+        if (ofReporter == null) {
+            return;
+        }
+        List<EvidenceRecord> renewed = ofReporter.all().stream()
+                .map(entry -> entry.evidence)
+                .filter(record -> record.reporterIncarnation() == former)
+                .map(record -> record.withIncarnation(next))
+                .toList();
+        renewed.forEach(record -> put(record, reporter, nowUs));
+    }
+
     /** Marks the records that a peer sent as to be sent back to it, since it was restarted with an empty store. */
     void forgetSource(String peer) {
         List<Entry> receivedFromPeer = recordsByReporter.values().stream()
--- a/gateway/src/main/java/sandpaddle/fleet/verdict/watch/EvidenceReporter.java
+++ b/gateway/src/main/java/sandpaddle/fleet/verdict/watch/EvidenceReporter.java
@@ -18,7 +18,7 @@
     private static final int MIN_USAGE_CHANGE_DIVISOR = 4;
 
     private final String self;
-    private final long incarnation;
+    private long incarnation;
     private final long leaseUs;
     private final long renewIntervalUs;
     private final int minStrength;
@@ -76,6 +76,17 @@
         }
     }
 
+    /** Returns the incarnation of the records. */
+    long incarnation() {
+        return incarnation;
+    }
+
+    /** Changes the incarnation to a later one, also of the records that were not drained yet. */
+    void setIncarnation(long next) {
+        incarnation = next;
+        pending.replaceAll(record -> record.withIncarnation(next));
+    }
+
     /** Returns the last reported finding on a subject, or null if it expired. */
     Finding lastFinding(long nowUs, Subject subject) {
         EvidenceRecord record = latest.get(subject);
--- a/gateway/src/main/java/sandpaddle/fleet/verdict/watch/LocalObserver.java
+++ b/gateway/src/main/java/sandpaddle/fleet/verdict/watch/LocalObserver.java
@@ -59,6 +59,16 @@
         selfFindingSinceUs = nowUs;
     }
 
+    /** Returns the incarnation of this gateway's evidence. */
+    public long incarnation() {
+        return reporter.incarnation();
+    }
+
+    /** Changes the incarnation of this gateway's evidence to a later one. */
+    public void setIncarnation(long next) {
+        reporter.setIncarnation(next);
+    }
+
     /** Sets the complete engine list; engines past {@code maxEngines} are not observed. */
     public void updateEngines(long nowUs, Collection<ListedEngine> entries) {
         Map<String, EngineOutcomes> next = new LinkedHashMap<>();
