--- a/gateway/src/main/java/sandpaddle/dispatch/EngineStartTimes.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/EngineStartTimes.java
@@ -21,7 +21,7 @@
  * <p>Bounded by the endpoint list. Confined to the event loop's thread.
  */
 final class EngineStartTimes {
-    /** How long the bound counts: two clocks that run on for longer may have drifted apart, or one may have been set. */
+    /** How long the bound counts: after that two clocks may have drifted apart, or one may have been set. */
     private static final Duration REFERENCE_LIFETIME = Duration.ofMinutes(1);
 
     /** Greatest plausible time from an engine's start until a change of the list states it. */
--- a/gateway/src/main/java/sandpaddle/dispatch/RequestLog.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/RequestLog.java
@@ -10,7 +10,8 @@
 
 /**
  * Log of the steps of each request, with its trace id on each line: retries at level INFO, all other steps at level
- * DEBUG, which cost only the check of a flag while debug lines are off. The keys and the messages are read by scripts; docs/operators/rare-moments.md explains them.
+ * DEBUG, which cost only the check of a flag while debug lines are off. The keys and the messages are read by scripts;
+ * docs/operators/rare-moments.md explains them.
  */
 final class RequestLog {
     private static final long US_PER_MS = 1000;
--- a/gateway/src/test/java/sandpaddle/fleet/verdict/RestartWithWallClockSetBackTest.java
+++ b/gateway/src/test/java/sandpaddle/fleet/verdict/RestartWithWallClockSetBackTest.java
@@ -13,7 +13,7 @@
 import sandpaddle.fleet.verdict.watch.AttemptOutcome;
 import sandpaddle.fleet.verdict.watch.ListedEngine;
 
-/** A gateway restarts after its wall clock was set back, so that its incarnation is less than that of its last process. */
+/** A gateway restarts after its wall clock was set back: its incarnation is less than that of its last process. */
 class RestartWithWallClockSetBackTest {
     private static final long SECOND_US = 1_000_000;
     private static final long FIRST_INCARNATION = 2_000;
