Engines' starts: use the wall clock of the process's start once the list confirms it

Need: with the latest listed start as the only reference, every engine counts as younger by its listing delay.

Change: the wall clock is read once, at the start of the process.

--- a/gateway/src/main/java/sandpaddle/dispatch/EndpointListHandler.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/EndpointListHandler.java
@@ -1,5 +1,6 @@
 package sandpaddle.dispatch;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
@@ -27,7 +28,7 @@
     private final FleetCoordination fleet;
     private final EventQueue events;
     private final Scheduler loop;
-    private final EngineStartTimes startTimes = new EngineStartTimes();
+    private final EngineStartTimes startTimes;
     private boolean fullListReceived;
 
     EndpointListHandler(
@@ -37,6 +38,7 @@
             FleetCoordination fleet,
             EventQueue events) {
         this.loop = loop;
+        startTimes = new EngineStartTimes(Instant.now(), loop.now());
         this.engines = engines;
         this.admission = admission;
         this.fleet = fleet;
--- a/gateway/src/test/java/sandpaddle/app/WallClockUseTest.java
+++ b/gateway/src/test/java/sandpaddle/app/WallClockUseTest.java
@@ -17,6 +17,7 @@
     private static final Map<String, String> READERS = Map.of(
             "app.Server", "passes it to the monitor that logs when it was set",
             "app.WallClockMonitor", "logs when it was set",
+            "dispatch.EndpointListHandler", "compares it with starts in the list, which bound its error",
             "fleet.node.FleetNode", "draws an incarnation",
             "fleet.node.quota.PoolCoordinator", "policies have conditions on the time of day",
             "fleet.node.outage.OutageService", "outages are scheduled by the calendar",
