Log at INFO only retries of what may have run; check the wall clock once a second

Change: a retry of what provably never ran is logged at level DEBUG; most retries are of that kind. The wall clock is compared with the monotonic clock once a second instead of in each turn.

--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -35,7 +35,6 @@
     private static final int NON_HEAP_MB = 48; // code, classes, stacks and direct buffers take 30 to 35 MB under load
     private static final int OTHER_DESCRIPTORS = 28; // 13 of the JVM, listener, discovery, a file being reread
 
-    private final WallClockMonitor wallClockMonitor = new WallClockMonitor(Clock.systemUTC(), System::nanoTime);
     private final EventLoop loop;
     private final HttpEngineClient engines;
     private final Dispatcher dispatcher;
@@ -87,6 +86,7 @@
         this.operatorFile = operatorFile;
         config = configSource.load();
         loop = new EventLoop();
+        new WallClockMonitor(Clock.systemUTC(), loop).start();
         int maxSessions = config.maxSockets() / CLIENT_SHARE_DIVISOR + EXTRA_SESSIONS;
         int engineSockets = config.maxSockets() - maxSessions - MysqlFrontend.MAX_LINGERING - OTHER_DESCRIPTORS;
         config.warnings().forEach(warning -> Logger.warn("configuration: {}", warning));
@@ -165,7 +165,6 @@
     }
 
     private void endOfTurn() {
-        wallClockMonitor.check();
         if (aborted) {
             frontends.forEach(Frontend::stopListening);
             loop.stop();
--- a/gateway/src/main/java/sandpaddle/dispatch/RequestLog.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/RequestLog.java
@@ -9,9 +9,9 @@
 import sandpaddle.query.AttemptEnd;
 
 /**
- * Log of the steps of each request, with its trace id on each line: retries at level INFO, all other steps at level
- * DEBUG, which cost only the check of a flag while debug lines are off. The keys and the messages are read by scripts;
- * docs/operators/rare-moments.md explains them.
+ * Log of the steps of each request, with its trace id on each line: retries of what may have run at level INFO, other
+ * steps at level DEBUG, which cost only the check of a flag while debug lines are off. The keys and the messages are
+ * read by scripts; docs/operators/rare-moments.md explains them.
  */
 final class RequestLog {
     private static final long US_PER_MS = 1000;
@@ -62,14 +62,22 @@
         }
     }
 
-    /** Logs that a request is retried, with the end of its previous attempt. */
+    /** Logs that a request is retried, with the end of its previous attempt: at level INFO if that may have run. */
     static void retried(ActiveRequest request, int attempt, String engine, Instant now) {
-        attemptLine(request, "retried", attempt, engine)
+        boolean isHarmless = ResultMapping.result(request.lastEnd()).neverRan();
+        if (isHarmless && !LogEvent.isDebugOn()) {
+            return;
+        }
+        LogEvent event = attemptLine(request, "retried", attempt, engine)
                 .with("previous", request.engine())
                 .with("after", request.lastEnd().getClass().getSimpleName())
                 .with("why", ResultMapping.reason(request.lastEnd()))
-                .with("ms", request.age(now).toMillis())
-                .info();
+                .with("ms", request.age(now).toMillis());
+        if (isHarmless) {
+            event.debug();
+        } else {
+            event.info();
+        }
     }
 
     /** Logs that the attempt in flight is cancelled, and why. */
