--- a/gateway/src/test/java/sandpaddle/integration/WallClockStepIntegrationTest.java
+++ b/gateway/src/test/java/sandpaddle/integration/WallClockStepIntegrationTest.java
@@ -37,12 +37,20 @@
 
     private static final int CLIENTS = 60;
 
-    private static final String SETTINGS = GatewayFixture.SETTINGS
+    static final String SETTINGS = GatewayFixture.SETTINGS
             .replace("\"classes\":[", """
             "classes":[{"name":"window","aim_us":4000000,"effect":"keyed","key_scope":"all","window_us":400000,
             "hard_limit_us":20000000,"value":3.0},""")
             .replace("\"class_threads\":[", "\"class_threads\":[1,");
 
+    /** Returns a configuration with the given initial endpoint list event and settings. */
+    static String config(ScriptedFeed feed, String event, String settings) {
+        return """
+                {"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",
+                "limits":{"cores":1.0,"memory_mb":144,"sockets":512},"feed":"127.0.0.1:%d",
+                "known":{"events":[%s]},"settings":%s}""".formatted(feed.port(), event, settings);
+    }
+
     /** A gateway process with two engines that run the same script, and a wall clock to set. */
     private static final class Fixture implements AutoCloseable {
         private final SteppedWallClock clock = new SteppedWallClock();
@@ -57,17 +65,11 @@
             first = new ScriptedEngine(call -> respond(call, script));
             second = new ScriptedEngine(call -> respond(call, script));
             String hosts = GatewayFixture.host("e0", first, "Ready") + "," + GatewayFixture.host("e1", second, "Ready");
-            process = GatewayProcess.startWithWallClock(config(feed, GatewayFixture.event(1, true, hosts)), clock);
+            process = GatewayProcess.startWithWallClock(
+                    config(feed, GatewayFixture.event(1, true, hosts), SETTINGS), clock);
             client = Client.connect(process.address());
         }
 
-        static String config(ScriptedFeed feed, String event) {
-            return """
-                    {"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",
-                    "limits":{"cores":1.0,"memory_mb":144,"sockets":512},"feed":"127.0.0.1:%d",
-                    "known":{"events":[%s]},"settings":%s}""".formatted(feed.port(), event, SETTINGS);
-        }
-
         private String respond(ScriptedEngine.Call call, Function<ScriptedEngine.Call, String> script) {
             if (call.is("POST")) {
                 postsNs.add(System.nanoTime());
@@ -225,6 +227,14 @@
         }
     }
 
+    @Test(dataProvider = "steps")
+    public void stepOfTheWallClockIsLogged(Duration step) throws Exception {
+        try (Fixture running = new Fixture(call -> NO_RESPONSE)) {
+            running.clock.set(step);
+            running.process.awaitLogLine("wall clock was set by_ms=" + (step.isNegative() ? "-" : ""));
+        }
+    }
+
     /** The gateway starts on a machine whose wall clock is wrong, with an engine that has started just before. */
     @Test(dataProvider = "steps")
     public void startedEngineIsNotOverloadedWhenWallClockIsWrongFromTheStart(Duration error) throws Exception {
@@ -234,7 +244,7 @@
             clock.set(error);
             String host = GatewayFixture.host("e0", engine, "Ready", System.currentTimeMillis());
             try (GatewayProcess process = GatewayProcess.startWithWallClock(
-                    Fixture.config(feed, GatewayFixture.event(1, true, host)), clock)) {
+                    config(feed, GatewayFixture.event(1, true, host), SETTINGS), clock)) {
                 for (int i = 0; i < CLIENTS; i++) {
                     Client client = Client.connect(process.address());
                     int number = i;
