--- a/review/Stand.java
+++ b/review/Stand.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -150,10 +151,13 @@
         final ServerSocket listener;
         final Map<String, Run> latest = new ConcurrentHashMap<>();
         final List<Run> runs = new ArrayList<>();
+        private final Random random;
+        volatile int spoilOneIn; // good answers that state a length which does not fit; 0 for none
 
         Engine(String id) throws IOException {
             this.id = id;
             listener = listen(512);
+            random = new Random(id.hashCode());
             spawn("engine " + id, () -> {
                 while (true) {
                     Socket socket = listener.accept();
@@ -268,9 +272,27 @@
                 String note = now() - run.startMs < 500 ? "" : String.format(Locale.ROOT, "X-Result: frac\r\nNote-Value: %.2f\r\n", share);
                 return http("202 Accepted", note, "");
             }
-            return run.end.equals("done")
-                    ? http("200 OK", "Result-Pages: 1\r\n", run.trace + "\t" + id + "\trow\n")
-                    : http("500 Error", "", "");
+            return run.end.equals("done") ? good(run) : http("500 Error", "", "");
+        }
+
+        /** The rows that this engine makes for a query. */
+        List<String> rows(String trace) {
+            List<String> rows = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                rows.add(i + "\t" + trace.substring(12) + "\t" + id);
+            }
+            return rows;
+        }
+
+        private synchronized String good(Run run) {
+            String body = String.join("\n", rows(run.trace)) + "\n";
+            String answer = http("200 OK", "Result-Pages: 1\r\n", body);
+            if (spoilOneIn == 0 || random.nextInt(spoilOneIn) > 0) {
+                return answer;
+            }
+            int length = random.nextInt(body.length());
+            note("engine " + id + " " + run.trace + " answer spoilt: its length says " + length + ", it has " + body.length());
+            return answer.replace("Content-Length: " + body.length(), "Content-Length: " + length);
         }
     }
 
@@ -558,7 +580,7 @@
                 answer = client.answer();
                 answeredMs = now();
                 note("client " + trace + " " + answer.kind() + " after " + (answeredMs - sentMs) + " ms "
-                        + (answer.rows().isEmpty() ? answer.code() + " " + answer.text() : answer.rows().toString()));
+                        + (answer.rows().isEmpty() ? answer.code() + " " + answer.text() : answer.rows().size() + " rows"));
             } catch (IOException e) {
                 broken = e instanceof EOFException ? "connection ended" : e.toString();
                 note("client " + trace + " has no answer after " + (now() - sentMs) + " ms: " + broken);
