Statements: a long text that is almost a number no longer holds the event loop

Cause: in DECIMAL, \d+\.?\d* shares a run of digits between two quantifiers in every way before it gives up, about n^2/2 steps; KILL and SHOW_WARNINGS do the same with spaces, by \s*;?\s*.

Evidence: thread dumps, one a second during the case: in all but the first of 8 the loop's thread is in java.util.regex, below Statement.numberField where the dump reaches that far.

Change: possessive quantifiers.

--- a/gateway/src/main/java/sandpaddle/mysql/Statement.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Statement.java
@@ -45,15 +45,16 @@
     /** A text that is rejected; the client receives the reason. */
     record Malformed(String reason) implements Statement {}
 
-    Pattern KILL =
-            Pattern.compile("\\s*KILL\\s+(?:(QUERY|CONNECTION)\\s+)?(\\d{1,9})\\s*;?\\s*", Pattern.CASE_INSENSITIVE);
-    Pattern SHOW_WARNINGS = Pattern.compile("\\s*SHOW\\s+WARNINGS\\s*;?\\s*", Pattern.CASE_INSENSITIVE);
+    // Possessive quantifiers, so that a text that does not match is read once: a statement may have 64 KB.
+    Pattern KILL = Pattern.compile(
+            "\\s*+KILL\\s++(?:(QUERY|CONNECTION)\\s++)?+(\\d{1,9}+)\\s*+;?+\\s*+", Pattern.CASE_INSENSITIVE);
+    Pattern SHOW_WARNINGS = Pattern.compile("\\s*+SHOW\\s++WARNINGS\\s*+;?+\\s*+", Pattern.CASE_INSENSITIVE);
     Pattern SET = Pattern.compile("\\s*SET\\s.*", Pattern.CASE_INSENSITIVE | Pattern.DOTALL);
     Pattern TRACE_ID = Pattern.compile("[0-9a-fA-F]{16}");
     Pattern TENANT = Pattern.compile("[^\\p{Cntrl}]{1,64}");
     Pattern RUN_NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     Pattern HEADER_VALUE = Pattern.compile("[\\x21-\\x7E]{1,128}"); // sent to engines as the value of an HTTP header
-    Pattern DECIMAL = Pattern.compile("[+-]?(?:\\d+\\.?\\d*|\\.\\d+)(?:[eE][+-]?\\d{1,3})?");
+    Pattern DECIMAL = Pattern.compile("[+-]?+(?:\\d++\\.?+\\d*+|\\.\\d++)(?:[eE][+-]?+\\d{1,3}+)?+");
     long MAX_MS = Duration.ofDays(1).toMillis();
 
     /**
--- a/gateway/src/test/java/sandpaddle/mysql/StatementTest.java
+++ b/gateway/src/test/java/sandpaddle/mysql/StatementTest.java
@@ -91,6 +91,23 @@
         }
     }
 
+    /** Guards against one statement that occupies the event loop for longer than its client waits for an error. */
+    @Test(timeOut = 3000)
+    public void rejectsLongTextThatIsAlmostANumberOrACommand() {
+        String fields = "/* route=report,trace=9b1f03aa5c7e2d41,patience=1500,weight=";
+        String spaces = " ".repeat(60_000);
+        for (String invalid : new String[] {
+            fields + "1".repeat(60_000) + "x */ SELECT 1",
+            fields + "1".repeat(60_000) + ".".repeat(2) + " */ SELECT 1",
+            "KILL 1" + spaces + "x",
+            "KILL QUERY 1 ;" + spaces + ";",
+            "SHOW WARNINGS" + spaces + "x"
+        }) {
+            assertEquals(parse(invalid).getClass(), Statement.Malformed.class, invalid.substring(0, 14));
+        }
+        assertEquals(parse("KILL QUERY 12" + spaces + ";" + spaces), new Statement.Kill(true, 12));
+    }
+
     private static Statement parse(String text) {
         return Statement.parse(text.getBytes(StandardCharsets.UTF_8));
     }
