Client input: at most 64 KB are read ahead while a command is handled

Cause: KILL reads the input of the session that it names. Where that is the session whose command is handled, CommandFlow appended what was read and left it to the outer call, which alone checks the size of packets and turns reading off. So the inner read went on for as long as the client kept up.

Evidence: heap dump at the error. The stack is CommandFlow.handlePackets, CommandHandler.kill, Session.readInput, Connection.readAvailable, PacketReader.append; the buffer has 33,554,432 bytes and is being doubled, the next largest array 362,643 bytes, so unread answers are not the cause.

Change: CommandFlow turns reading off at 64 KB and 4 bytes while a packet is handled. The rest stays in the socket, and the outer call decides on reading again, so that nothing is lost and all commands are answered in their order. The limit holds whoever reads, also for sessions that kill each other.

--- a/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
+++ b/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
@@ -60,13 +60,22 @@
         return input.hasDiscarded();
     }
 
-    /** Buffers input and handles the packets that it completes. */
+    /**
+     * Buffers input and handles the packets that it completes. Input that is read while a packet is handled is only
+     * buffered, and reading stops at {@link SessionInput#MAX_PIPELINED_BYTES}: the rest stays in the socket.
+     */
     void onReceived(ByteBuffer bytes) {
-        if (handler.acceptsPackets()) {
-            input.append(bytes, loop.readableSince());
+        if (!handler.acceptsPackets()) {
+            if (!input.appendPipelined(bytes, loop.readableSince())) {
+                connection.onFailure(null);
+            }
+            return;
+        }
+        input.append(bytes, loop.readableSince());
+        if (!handling) {
             handlePackets();
-        } else if (!input.appendPipelined(bytes, loop.readableSince())) {
-            connection.onFailure(null);
+        } else if (input.isFull()) {
+            connection.setReading(false); // until handlePackets() decides again
         }
     }
 
--- a/gateway/src/main/java/sandpaddle/mysql/SessionInput.java
+++ b/gateway/src/main/java/sandpaddle/mysql/SessionInput.java
@@ -5,7 +5,7 @@
 
 /** The bounded buffer of input that a session has not handled yet: complete and incomplete packets. */
 final class SessionInput {
-    /** Bytes that a client may pipeline while its query is open: one packet of the largest size. */
+    /** Bytes that a client may pipeline while a command is handled: one packet of the largest size. */
     static final int MAX_PIPELINED_BYTES = PacketReader.MAX_PAYLOAD_BYTES + PacketReader.HEADER_BYTES;
     /** Bytes beyond that limit that are read and discarded before the connection is closed. */
     private static final long MAX_DISCARDED_BYTES = 8L * 1024 * 1024;
@@ -43,6 +43,11 @@
         return discardedBytes > 0;
     }
 
+    /** Whether {@link #MAX_PIPELINED_BYTES} are buffered. */
+    boolean isFull() {
+        return packets.bufferedBytes() >= MAX_PIPELINED_BYTES;
+    }
+
     /** Whether no byte is buffered. */
     boolean isEmpty() {
         return packets.bufferedBytes() == 0;
--- a/gateway/src/test/java/sandpaddle/integration/GatewayProcessIntegrationTest.java
+++ b/gateway/src/test/java/sandpaddle/integration/GatewayProcessIntegrationTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -156,6 +157,42 @@
         }
     }
 
+    /** Writes all bytes, unless the gateway closes the connection before. */
+    private static void flood(Client client, byte[] bytes) {
+        try {
+            client.write(bytes);
+        } catch (IOException e) {
+            // rejected: the gateway has closed the connection
+        }
+    }
+
+    /** Guards against exhausted memory: input behind a KILL of the own session is read while that is executed. */
+    @Test
+    public void keepsServingWhenClientsSendLargeBodiesBehindKillsOfTheirOwnSession() throws Exception {
+        try (var engine = new ScriptedEngine(c -> ok("1st\t\t\n"));
+                var feed = new ScriptedFeed();
+                var process = new GatewayProcess(
+                        config(feed.port(), GatewayFixture.event(1, true, GatewayFixture.host("e", engine, "Ready"))),
+                        "",
+                        JVM_LIMITS)) {
+            Client usual = Client.connect(process.address());
+            for (int i = 0; i < 5; i++) {
+                try (Client hostile = Client.connect(process.address())) {
+                    byte[] kill = Client.query("KILL QUERY " + hostile.connectionId);
+                    byte[] bytes = new byte[50 * kill.length + 60 * 1024 * 1024];
+                    Arrays.fill(bytes, (byte) 0xFF); // behind the commands a header that announces 16 MB
+                    for (int j = 0; j < 50; j++) {
+                        System.arraycopy(kill, 0, bytes, j * kill.length, kill.length);
+                    }
+                    flood(hostile, bytes);
+                }
+                assertTrue(process.isAlive(), "the gateway has ended in round " + i);
+                assertEquals(usual.execute(GatewayFixture.queryComment("lookup", i, 5000) + SQL), "1st||");
+            }
+            usual.close();
+        }
+    }
+
     /** Returns endpoint list entries with long ids, as an operator may choose them, all at the port of one engine. */
     private static String hosts(int from, int to, ScriptedEngine engine, String health) {
         return IntStream.range(from, to)
