KILL: one is executed after the other, so that a chain of them cannot end the gateway

Callers saw: 340 clients, each of which sent KILL QUERY of the next one while the gateway did not read, ended it with status 1; all open requests were lost.

Cause: KILL reads and handles the input of the session that it names before it answers. If that holds a KILL, the next session is read within it, and so on: the depth of calls is the number of sessions, on a stack of 512 KB.

Evidence: the log ends in 10 frames that repeat, from CommandHandler.kill over Connection.readAvailable to CommandFlow.handlePackets and back; the test gets a StackOverflowError.

Change: KillCommands has a queue. A KILL that is read during another waits until that is done, in the same turn, and its client accepts no further command until then (state KILLING), so that answers keep their order.

--- a/gateway/src/main/java/sandpaddle/mysql/CommandHandler.java
+++ b/gateway/src/main/java/sandpaddle/mysql/CommandHandler.java
@@ -51,7 +51,8 @@
             case COM_RESET_CONNECTION -> session.send(ServerPackets.ok(1));
             case COM_INIT_DB -> initDatabase(new String(argument, StandardCharsets.UTF_8));
             case COM_QUERY -> handleQuery(argument, packet.arrivedAt());
-            case COM_PROCESS_KILL -> kill(new Statement.Kill(false, parseConnectionId(argument)));
+            case COM_PROCESS_KILL ->
+                frontend.kills().submit(session, new Statement.Kill(false, parseConnectionId(argument)));
             default -> session.send(ServerPackets.error(1, SqlError.ER_UNKNOWN_COM_ERROR, "Unknown command"));
         }
     }
@@ -73,7 +74,7 @@
     private void handleQuery(byte[] text, Instant arrivedAt) {
         Statement statement = Statement.parse(text);
         if (statement instanceof Statement.Kill kill) {
-            kill(kill);
+            frontend.kills().submit(session, kill);
         } else if (statement instanceof Statement.SetOption) {
             session.send(ServerPackets.ok(1));
         } else if (statement instanceof Statement.ShowWarnings) {
@@ -84,22 +85,4 @@
             session.submit(runQuery.query(), arrivedAt);
         }
     }
-
-    private void kill(Statement.Kill kill) {
-        Session other = frontend.sessions().get(kill.connectionId());
-        if (other == null) {
-            session.send(
-                    ServerPackets.error(1, SqlError.ER_NO_SUCH_THREAD, "Unknown thread id: " + kill.connectionId()));
-            return;
-        }
-        other.readInput(); // the query to kill may have arrived already without having been read
-        if (kill.queryOnly()) {
-            other.interruptQuery();
-            session.send(ServerPackets.ok(1));
-        } else {
-            session.send(ServerPackets.ok(1));
-            other.cancelQuery();
-            other.end();
-        }
-    }
 }
--- a/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -33,6 +33,7 @@
     private final QueryService service;
     private final SplittableRandom random;
     private final SessionRegistry sessions = new SessionRegistry();
+    private final KillCommands kills = new KillCommands(sessions);
     private final Set<LingeringClose> lingeringCloses = new LinkedHashSet<>();
     private final Acceptor acceptor;
     private final int maxSessions;
@@ -71,6 +72,10 @@
         return sessions;
     }
 
+    KillCommands kills() {
+        return kills;
+    }
+
     /**
      * Opens a session. At the limit on sessions, which keeps file descriptors for engine connections, an idle session
      * is closed in its place; if there is none, the connection is rejected with an error.
--- a/gateway/src/main/java/sandpaddle/mysql/Session.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Session.java
@@ -21,6 +21,8 @@
         IDLE,
         /** A query is open. */
         BUSY,
+        /** A KILL of this client waits to be executed. */
+        KILLING,
         /** The last bytes are written or the connection is closed. */
         ENDED
     }
@@ -67,9 +69,9 @@
         return note;
     }
 
-    /** Whether no query is open, no input waits to be handled and all answers are sent. */
+    /** Whether no query is open, no KILL waits, no input waits to be handled and all answers are sent. */
     boolean isIdle() {
-        return state != State.BUSY && connection.unsentBytes() == 0 && flow.isEmpty();
+        return state != State.BUSY && state != State.KILLING && connection.unsentBytes() == 0 && flow.isEmpty();
     }
 
     // ---- Input
@@ -185,6 +187,22 @@
         }
     }
 
+    // ---- KILL, sent by this client
+
+    /** Accepts no command until {@link #finishKill}. */
+    void startKill() {
+        state = State.KILLING;
+    }
+
+    /** Answers the KILL and continues with the next command, unless the session has ended. */
+    void finishKill(byte[] reply) {
+        if (state == State.KILLING) {
+            state = State.IDLE;
+            send(reply);
+            resume();
+        }
+    }
+
     // ---- Output
 
     /** Sends bytes, and watches the progress of those that the socket does not take at once. */
--- a/gateway/src/test/java/sandpaddle/interleaving/ClientDisconnectTest.java
+++ b/gateway/src/test/java/sandpaddle/interleaving/ClientDisconnectTest.java
@@ -1,24 +1,29 @@
 package sandpaddle.interleaving;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.Test;
 
 /**
  * No attempt is sent for a client that has disconnected or killed its query, at whatever point of a turn that happens.
- * Rows L1 to L11 of docs/design/crossings.md.
+ * Rows L1 to L12 of docs/design/crossings.md.
  */
 public class ClientDisconnectTest {
 
     /** Leaves an idle connection to the engine, on which an attempt is written without a handshake. */
-    private static void openIdleEngineConnection(GatewayFixture gateway) throws java.io.IOException {
+    private static void openIdleEngineConnection(GatewayFixture gateway) throws IOException {
         ScriptedClient client = gateway.logInClient();
         client.send(ScriptedClient.query("once", 9, 5000));
         gateway.runUntil(() -> gateway.engine.callCount("POST") == 1);
         gateway.engine.respond("POST", ScriptedEngine.ROWS);
-        gateway.runUntil(() -> client.answers().equals(java.util.List.of("rows")));
+        gateway.runUntil(() -> client.answers().equals(List.of("rows")));
         gateway.clock.advance(Duration.ofMillis(100));
     }
 
@@ -106,8 +111,8 @@
             killer.send(ScriptedClient.concat(
                     ScriptedClient.login(), ScriptedClient.query("KILL QUERY " + client.connectionId())));
             gateway.settle();
-            assertEquals(killer.answers(), java.util.List.of("ok"));
-            assertEquals(client.answers(), java.util.List.of("1317"));
+            assertEquals(killer.answers(), List.of("ok"));
+            assertEquals(client.answers(), List.of("1317"));
             assertEquals(gateway.engine.callCount("POST"), 0);
         }
     }
@@ -126,11 +131,44 @@
                         0);
             };
             gateway.settle();
-            assertEquals(killer.answers(), java.util.List.of("ok"));
+            assertEquals(killer.answers(), List.of("ok"));
             gateway.updateEndpointList("Ready");
             gateway.settle();
             assertEquals(gateway.engine.callCount("POST"), 0);
-            assertEquals(client.answers(), java.util.List.of("1317"));
+            assertEquals(client.answers(), List.of("1317"));
+        }
+    }
+
+    /** L12. Guards against a stack overflow: each KILL reads the next client, which has sent a KILL too. */
+    @Test
+    public void chainOfKillsIsExecutedOnASmallStack() throws Exception {
+        int count = 300;
+        try (GatewayFixture gateway = new GatewayFixture(count)) {
+            List<ScriptedClient> clients = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                clients.add(gateway.logInClient());
+            }
+            for (int i = 0; i < count; i++) {
+                int next = clients.get((i + 1) % count).connectionId();
+                clients.get(i).sendAndAwait(ScriptedClient.query("KILL QUERY " + next), 0);
+            }
+            AtomicReference<Throwable> failure = new AtomicReference<>();
+            Thread loop = new Thread(null, () -> runTurn(gateway, failure), "small stack", 192 * 1024);
+            loop.start();
+            loop.join();
+            assertNull(failure.get());
+            gateway.settle();
+            for (ScriptedClient client : clients) {
+                assertEquals(client.answers(), List.of("ok"));
+            }
+        }
+    }
+
+    private static void runTurn(GatewayFixture gateway, AtomicReference<Throwable> failure) {
+        try {
+            gateway.runTurn();
+        } catch (IOException | StackOverflowError e) {
+            failure.set(e);
         }
     }
 
@@ -156,8 +194,8 @@
                     gateway.clock.advance(Duration.ofMillis(110));
                 });
                 gateway.settle();
-                assertEquals(killer.answers(), java.util.List.of("ok"));
-                assertEquals(client.answers(), java.util.List.of("1317"));
+                assertEquals(killer.answers(), List.of("ok"));
+                assertEquals(client.answers(), List.of("1317"));
                 assertEquals(gateway.engine.callCount("POST"), 0, "attempt sent more than 0.1 s after the KILL");
             }
         }
@@ -214,7 +252,7 @@
             }
             gateway.engine.respond("POST", ScriptedEngine.ROWS);
             gateway.runUntil(client::isEnded);
-            assertEquals(client.answers(), java.util.List.of("rows", "1153"));
+            assertEquals(client.answers(), List.of("rows", "1153"));
             assertTrue(!client.isReset(), "the connection was reset before the answer was read");
         }
     }
--- a/gateway/src/test/java/sandpaddle/interleaving/GatewayFixture.java
+++ b/gateway/src/test/java/sandpaddle/interleaving/GatewayFixture.java
@@ -68,6 +68,11 @@
     Step beforeNextConnection; // runs once, when the next connection is accepted, before the gateway handles it
 
     GatewayFixture() throws IOException {
+        this(MAX_SESSIONS);
+    }
+
+    /** Starts a gateway with another limit on sessions. */
+    GatewayFixture(int maxSessions) throws IOException {
         names = CONFIG.names();
         DecisionSettings settings = CONFIG.decisionSettings();
         engineClient = new HttpEngineClient(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 40);
@@ -77,7 +82,7 @@
                 loop,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 new HookedQueryService(),
-                MAX_SESSIONS,
+                maxSessions,
                 7);
         shutdown = new GracefulShutdown(
                 loop, dispatcher, engineClient, List.of(frontend), Duration.ofSeconds(20), () -> stopped = true);
--- a/gateway/src/test/java/sandpaddle/mysql/CommandFlowTest.java
+++ b/gateway/src/test/java/sandpaddle/mysql/CommandFlowTest.java
@@ -85,7 +85,10 @@
     private static ByteBuffer packets() {
         ByteBuffer packets = ByteBuffer.allocate(PACKETS * (PacketReader.HEADER_BYTES + PAYLOAD_BYTES));
         for (int i = 0; i < PACKETS; i++) {
-            packets.put((byte) PAYLOAD_BYTES).put((byte) (PAYLOAD_BYTES >> 8)).put((byte) 0).put((byte) 0);
+            packets.put((byte) PAYLOAD_BYTES)
+                    .put((byte) (PAYLOAD_BYTES >> 8))
+                    .put((byte) 0)
+                    .put((byte) 0);
             packets.put(new byte[PAYLOAD_BYTES]);
         }
         return packets.flip();
