Client input: the limit on a session's commands in a turn counts all reads of the turn

Cause: a KILL, an eviction, a timeout and an accept read a session until its socket is empty. CommandFlow ended its part of the turn after 64 packets, but counted anew with each read of 16 or 64 KB. Packets of more than 1 KB are never 64 in one read, and the client refills the socket while it is emptied.

Change: TurnBudget counts packets and bytes of a session over all reads of a turn (EventLoop.turn), up to the 64th packet or the one that reaches 64 KB. A session that has used it up is not idle, since its socket may hold more: it is neither evicted nor closed before that was read.

--- a/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
@@ -69,6 +69,7 @@
     private Instant now;
     private Instant readableSince;
     private List<Runnable> nextTurnTasks = new ArrayList<>();
+    private long turn;
     private boolean turnRequested;
     private boolean stopped;
     private int closedChannels; // since the last select
@@ -113,6 +114,11 @@
 
     // ---- Turns.
 
+    /** The number of the current turn, from 1. */
+    public long turn() {
+        return turn;
+    }
+
     /** Runs a task in the next turn, which starts without waiting. */
     public void runNextTurn(Runnable task) {
         nextTurnTasks.add(task);
@@ -145,6 +151,7 @@
     /** Runs one turn, which waits for at most {@code maxWait}; {@code endOfTurn} runs at its end. */
     public void runTurn(Runnable endOfTurn, Duration maxWait) throws IOException {
         awaitReady(maxWait);
+        turn++;
         closedChannels = 0;
         List<SelectionKey> ready = new ArrayList<>(selector.selectedKeys());
         selector.selectedKeys().clear();
--- a/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
+++ b/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
@@ -27,14 +27,13 @@
 
     /** Unsent answer bytes above which the next command of the client is deferred. */
     private static final int MAX_UNSENT_BYTES = 128 * 1024;
-    /** Packets of one session in a turn, so that a client that sends many at once does not delay the others. */
-    private static final int MAX_PACKETS_PER_TURN = 64;
 
     private final EventLoop loop;
     private final Connection connection;
     private final SessionTimeouts timeouts;
     private final Handler handler;
     private final SessionInput input = new SessionInput();
+    private final TurnBudget budget;
     private boolean handling;
     private boolean yielded; // no further packets in this turn
 
@@ -43,6 +42,7 @@
         this.connection = connection;
         this.timeouts = timeouts;
         this.handler = handler;
+        budget = new TurnBudget(loop);
     }
 
     /** Raises the limit on the packet size after the login. */
@@ -50,9 +50,9 @@
         input.onLoggedIn();
     }
 
-    /** Whether all input was handled. */
+    /** Whether all input was handled; false while there may be more in the socket than this turn handles. */
     boolean isEmpty() {
-        return input.isEmpty();
+        return input.isEmpty() && !yielded;
     }
 
     /** Whether input was discarded, so that no further packet can be read. */
@@ -87,10 +87,10 @@
         handling = true;
         try {
             PacketReader.Packet packet = next();
-            for (int handled = 1; packet != null; handled++) {
+            while (packet != null) {
                 timeouts.packetCompleted();
                 handler.handle(packet);
-                if (handled == MAX_PACKETS_PER_TURN && !input.isEmpty()) {
+                if (budget.spend(packet.payload().length)) {
                     yieldTurn();
                 }
                 packet = next();
--- a/gateway/src/test/java/sandpaddle/interleaving/PipelinedCommandsTest.java
+++ b/gateway/src/test/java/sandpaddle/interleaving/PipelinedCommandsTest.java
@@ -4,12 +4,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import org.testng.annotations.Test;
 import sandpaddle.app.GracefulShutdown;
 
-/** Commands that are sent before the previous one was answered. Rows C1 to C3 of docs/design/crossings.md. */
+/** Commands that are sent before the previous one was answered. Rows C1 to C5 of docs/design/crossings.md. */
 public class PipelinedCommandsTest {
     private static final byte[] PING = ScriptedClient.packet(0, new byte[] {14});
 
@@ -43,6 +44,30 @@
         }
     }
 
+    /** C5. Guards fairness: one read after the other, each with few commands, made a turn as long as the input. */
+    @Test
+    public void longCommandsReadByAKillDoNotProlongTheTurn() throws Exception {
+        for (int payloadBytes : new int[] {2_000, 60_000}) {
+            try (GatewayFixture gateway = new GatewayFixture()) {
+                gateway.updateEndpointList("Ready");
+                ScriptedClient many = gateway.logInClient();
+                ScriptedClient killer = gateway.logInClient();
+                byte[] ping = ScriptedClient.packet(0, Arrays.copyOf(new byte[] {14}, payloadBytes));
+                int count = 2_400_000 / payloadBytes;
+                many.send(repeat(count, ping)); // more than a receive buffer: the rest follows as it is read
+                killer.sendAndAwait(ScriptedClient.query("KILL QUERY " + many.connectionId()), 0);
+                gateway.runTurn();
+                gateway.readPeers();
+                assertEquals(killer.answers(), List.of("ok"));
+                int most = Math.min(64, 1 + 65_536 / payloadBytes);
+                assertTrue(
+                        many.answers().size() <= most,
+                        many.answers().size() + " commands of " + payloadBytes + " bytes were handled in one turn");
+                gateway.runUntil(() -> many.answers().size() == count);
+            }
+        }
+    }
+
     /** C2. Guards against a late answer to a pipelined request whose timeout was counted from the previous answer. */
     @Test
     public void timeoutOfAPipelinedRequestStartsAtItsOwnLastByte() throws Exception {
@@ -50,10 +75,9 @@
             gateway.updateEndpointList("Ready");
             ScriptedClient client = gateway.logInClient();
             byte[] second = ScriptedClient.query("again", 2, 1000);
-            client.send(
-                    ScriptedClient.concat(ScriptedClient.query("once", 1, 800), java.util.Arrays.copyOf(second, 40)));
+            client.send(ScriptedClient.concat(ScriptedClient.query("once", 1, 800), Arrays.copyOf(second, 40)));
             gateway.advance(Duration.ofMillis(300));
-            client.send(java.util.Arrays.copyOfRange(second, 40, second.length));
+            client.send(Arrays.copyOfRange(second, 40, second.length));
             gateway.advance(Duration.ofMillis(960)); // the first one ends after 800 ms, the second one after 1300 ms
             assertEquals(client.answers().size(), 1);
             assertEquals(
