Results: a page with bytes behind it that may be its own is polled again

Cause: EngineConnection closed the connection for bytes behind an answer, but handed the answer on as good. Where the stated length ends behind a row, nothing else tells that rows are missing.

Change: Response.Excess tells what was received behind an answer, in the same read or by one further read: nothing, the whole head of another response, which proves the length (rows have no empty line), or other bytes. A page of the result with other bytes behind it (OVERLONG_RESULT) is polled again on another connection; the query does not run again. Bytes found before the next page is polled, or something unreadable in its place, put the page before in doubt too.

--- a/gateway/src/main/java/sandpaddle/engineclient/EngineConnection.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/EngineConnection.java
@@ -53,6 +53,7 @@
     private boolean ended;
     private boolean used;
     private boolean maybeDuplicateResponse;
+    private Response.Excess excess = Response.Excess.NOTHING; // behind the last response
     private Instant connectedAt;
 
     EngineConnection(EventLoop loop, ConnectionPool pool) {
@@ -91,7 +92,16 @@
 
     /** Whether the connection has ended, or received bytes outside a call. */
     boolean isStale() {
-        return ended || connection.isStale();
+        return ended || readOutsideCall() != 0;
+    }
+
+    /** Whether bytes that may belong to the last response were received, by the latest {@link #isStale} too. */
+    boolean hasExcessBytes() {
+        return excess == Response.Excess.OTHER_BYTES;
+    }
+
+    private int readOutsideCall() {
+        return connection.readOnce(bytes -> excess = ResponseDecoder.excess(bytes));
     }
 
     /** Starts a call. Without a response within {@code maxWait} the call fails and the connection is closed. */
@@ -124,7 +134,7 @@
         try {
             Response response = decoder.decode(bytes);
             if (response != null) {
-                responseReceived(response, bytes.hasRemaining());
+                responseReceived(response);
             }
         } catch (MalformedHttpException e) {
             fail(Failure.MALFORMED, "malformed response: " + e.getMessage());
@@ -132,13 +142,17 @@
     }
 
     /** Closes the connection if more bytes follow, or if the response came before the call was written. */
-    private void responseReceived(Response response, boolean moreBytes) {
+    private void responseReceived(Response response) {
+        excess = response.excess();
+        if (excess == Response.Excess.NOTHING) {
+            readOutsideCall();
+        }
         Call answered = endCall();
-        boolean closing = moreBytes || !response.keepAlive() || connection.unsentBytes() > 0;
+        boolean closing = excess != Response.Excess.NOTHING || !response.keepAlive() || connection.unsentBytes() > 0;
         if (closing) {
             close();
         }
-        answered.onResponse(response, closing ? null : this);
+        answered.onResponse(response.withExcess(excess), closing ? null : this);
     }
 
     private Call endCall() {
--- a/gateway/src/main/java/sandpaddle/engineclient/QueryCalls.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/QueryCalls.java
@@ -123,6 +123,10 @@
         if (last != null) {
             last.abandon();
         }
+        if (last != null && page > 0 && last.hasExcessBytes()) {
+            listener.onCallFailed(EngineConnection.Failure.MALFORMED, "bytes behind the page before", true, page);
+            return;
+        }
         pool.acquire(new ConnectionPool.Callback() {
             @Override
             public void onConnection(EngineConnection connection) {
--- a/gateway/src/main/java/sandpaddle/engineclient/QueryPoller.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/QueryPoller.java
@@ -117,7 +117,7 @@
             owner.end(new AttemptEnd.NotConnected(reason));
         } else if (failure == EngineConnection.Failure.MALFORMED) {
             knownToEngine |= !postMaybeSent; // the malformed bytes respond to the POST: the engine has read it
-            onMalformedResponse(reason, page);
+            onMalformedResponse(reason, pages.removeLast()); // the bytes may be the rest of the page before
         } else if (calls.isBrokenTooOften(failure)) {
             owner.endAfterCancel(new AttemptEnd.ConnectionLost(reason));
         } else {
@@ -152,10 +152,10 @@
         if (classification != ResponseClassification.CONNECTION_DECLINED) {
             calls.queryAnswered();
         }
-        knownToEngine |=
-                classification == ResponseClassification.RESULT || classification == ResponseClassification.IN_PROGRESS;
+        knownToEngine |= classification.provesAcceptance();
         switch (classification) {
             case RESULT -> onPage(response, page);
+            case OVERLONG_RESULT -> onMalformedResponse("bytes behind result page " + page, page);
             case IN_PROGRESS -> onProgress(response, newConnection);
             case DECLINED -> endDeclined(new AttemptEnd.Rejected(stats));
             case EXPIRED -> endDeclined(new AttemptEnd.Expired(stats));
@@ -248,6 +248,7 @@
         if (LogEvent.isDebugOn()) {
             line("answered", page)
                     .with("status", response.status())
+                    .with("bytes", response.body().length)
                     .with("new", String.valueOf(newConnection))
                     .with("verdict", classification.name())
                     .debug();
--- a/gateway/src/main/java/sandpaddle/engineclient/Response.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/Response.java
@@ -9,8 +9,23 @@
  * @param headers its headers
  * @param body its body, empty if it has none
  * @param keepAlive whether the engine leaves the connection open
+ * @param excess what was received behind it
  */
-record Response(int status, HttpHeaders headers, byte[] body, boolean keepAlive) {
+record Response(int status, HttpHeaders headers, byte[] body, boolean keepAlive, Excess excess) {
+    /** What was received behind a response although no further call was made. */
+    enum Excess {
+        NOTHING,
+        /** The head of another response: the stated length of this one is right. */
+        ANOTHER_RESPONSE,
+        /** Other bytes: they may belong to this response, whose stated length is then too short. */
+        OTHER_BYTES
+    }
+
+    /** This response with what was received behind it. */
+    Response withExcess(Excess behind) {
+        return new Response(status, headers, body, keepAlive, behind);
+    }
+
     /** The value of a header by its name in lower case; null if it is absent. */
     String header(String name) {
         return headers.get(name);
--- a/gateway/src/main/java/sandpaddle/engineclient/ResponseClassification.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/ResponseClassification.java
@@ -12,6 +12,8 @@
 enum ResponseClassification {
     /** A page of the result; the query has run. */
     RESULT,
+    /** A page of the result with bytes behind it: whole, or cut short by its stated length. The query has run. */
+    OVERLONG_RESULT,
     /** The query was accepted and has not finished. */
     IN_PROGRESS,
     /** The engine has no capacity for the query; it never ran. */
@@ -45,6 +47,11 @@
      */
     record Call(boolean post, int page, boolean newConnection, boolean knownToEngine, boolean responseLost) {}
 
+    /** Whether the response proves that the engine has accepted the query. */
+    boolean provesAcceptance() {
+        return this == RESULT || this == OVERLONG_RESULT || this == IN_PROGRESS;
+    }
+
     /** Whether the engine declined the call or its connection. */
     static boolean isDeclined(Response response) {
         return (response.status() == STATUS_UNAVAILABLE || response.status() == STATUS_TIMEOUT)
@@ -57,7 +64,7 @@
             return ofDecline(response.status() == STATUS_UNAVAILABLE, call);
         }
         return switch (response.status()) {
-            case STATUS_OK -> RESULT;
+            case STATUS_OK -> response.excess() == Response.Excess.OTHER_BYTES ? OVERLONG_RESULT : RESULT;
             case STATUS_ACCEPTED -> call.page == 0 ? IN_PROGRESS : UNREADABLE;
             case STATUS_ERROR -> call.knownToEngine || !call.responseLost ? FAILED : UNCERTAIN;
             default -> UNREADABLE;
--- a/gateway/src/main/java/sandpaddle/engineclient/ResponseDecoder.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/ResponseDecoder.java
@@ -38,7 +38,26 @@
         }
         Response response = complete;
         complete = null;
-        return response;
+        return response.withExcess(excess(bytes));
+    }
+
+    /**
+     * Tells what bytes behind a response are. The rest of a page whose stated length is too short is never taken for
+     * the head of another response: rows contain no empty line.
+     *
+     * @param bytes the bytes, of which none is consumed
+     */
+    static Response.Excess excess(ByteBuffer bytes) {
+        if (!bytes.hasRemaining()) {
+            return Response.Excess.NOTHING;
+        }
+        ResponseDecoder next = new ResponseDecoder();
+        try {
+            next.parser.feed(bytes.duplicate());
+        } catch (MalformedHttpException e) {
+            return Response.Excess.OTHER_BYTES;
+        }
+        return next.head == null ? Response.Excess.OTHER_BYTES : Response.Excess.ANOTHER_RESPONSE;
     }
 
     @Override
@@ -55,7 +74,8 @@
 
     @Override
     public void end() {
-        complete = new Response(head.status(), head.headers(), body.toByteArray(), head.isKeepAlive());
+        complete = new Response(
+                head.status(), head.headers(), body.toByteArray(), head.isKeepAlive(), Response.Excess.NOTHING);
         body.reset();
     }
 }
--- a/gateway/src/main/java/sandpaddle/engineclient/ResultPages.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/ResultPages.java
@@ -28,6 +28,18 @@
         return true;
     }
 
+    /**
+     * Removes the last page, if there is one: bytes that were received behind it may belong to it.
+     *
+     * @return the number of the next page
+     */
+    int removeLast() {
+        if (!pages.isEmpty()) {
+            bytes -= pages.remove(pages.size() - 1).length;
+        }
+        return next();
+    }
+
     /** The number of the next page. */
     int next() {
         return pages.size();
--- a/gateway/src/main/java/sandpaddle/eventloop/Connection.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/Connection.java
@@ -7,6 +7,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.function.Consumer;
 
 /**
  * A non-blocking TCP connection, accepted or opened. Bytes that the socket does not accept at once are queued; the
@@ -187,15 +188,25 @@
         }
     }
 
-    /** Whether the peer of an idle connection has closed it or has sent bytes, which are discarded. */
-    public boolean isStale() {
+    /**
+     * Reads once, outside the turns and without notifying the listener.
+     *
+     * @param receiver receives the bytes, if any have arrived; must consume them before it returns
+     * @return the number of bytes; 0 if none have arrived, -1 if the peer has closed the connection or it has failed
+     */
+    public int readOnce(Consumer<ByteBuffer> receiver) {
         if (closed) {
-            return true;
+            return -1;
         }
         try {
-            return channel.read(loop.readBuffer()) != 0;
+            ByteBuffer buffer = loop.readAvailableBuffer();
+            int bytes = channel.read(buffer);
+            if (bytes > 0) {
+                receiver.accept(buffer.flip());
+            }
+            return bytes;
         } catch (IOException e) {
-            return true;
+            return -1;
         }
     }
 
--- a/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
@@ -220,7 +220,7 @@
         return readBuffer.clear();
     }
 
-    /** The buffer of {@link Connection#readAvailable()}, which may run while the read buffer is in use; cleared. */
+    /** The buffer of reads that may run while the read buffer is in use; cleared. */
     ByteBuffer readAvailableBuffer() {
         return readAvailableBuffer.clear();
     }
