--- a/review/second/Case8.java
+++ b/review/second/Case10.java
@@ -5,8 +5,8 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-/** Case 8: a gateway of a fleet is stopped; its connections are given to others while they are open at the engines. */
-final class Case8 {
+/** Case 10: a gateway of a fleet is stopped; its connections are given to others while they are open at the engines. */
+final class Case10 {
     private static final int GATEWAYS = 3;
     private static final int ENGINES = 2;
     private static final int LIMIT = 30;
