--- a/review/second/Case8.java
+++ b/review/second/Case8.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** Case 8: a zone is partitioned for 6 s; requests written into the cut begin when it is over, beside their retries. */
+/**
+ * Case 8: two zones are partitioned in turn for 6 s; requests written into the cut begin when that is over, beside their
+ * retries.
+ */
 final class Case8 {
     private static final int ENGINES = 6;
     private static final int ZONES = 3;
@@ -15,9 +18,9 @@
     /** Dashboards ask together, and again after this time. */
     private static final int WAVE_MS = 14_000;
 
-    private static final int WAVES = 2;
+    private static final int WAVES = 3;
     /** How long before a wave the zone is cut off, and for how long. */
-    private static final int CUT_BEFORE_MS = 300;
+    private static final int CUT_BEFORE_MS = 20;
 
     private static final int CUT_MS = 6_000;
     /** Every time limit of the rules is longer by 50 ms. */
@@ -58,14 +61,15 @@
         Play.Gateway gateway =
                 play.new Gateway("n0", port, Play.config("n0", 0, 1, port, feed, Play.CLASSES, false), null);
         gateway.awaitReady();
-        List<Cut> zone = new ArrayList<>();
-        for (int i = 1; i < ENGINES; i += ZONES) {
-            zone.add(ways.get(i));
-        }
         for (int wave = 0; wave < WAVES; wave++) {
             boolean isCut = play.trouble && wave > 0;
+            List<Cut> zone = new ArrayList<>();
+            for (int i = wave; i < ENGINES; i += ZONES) {
+                zone.add(ways.get(i));
+            }
+            String name = "hall-" + "abc".charAt(wave);
             if (isCut) {
-                play.line("hall-b is partitioned");
+                play.line(name + " is partitioned");
                 Cut.cut(zone);
             }
             Play.sleep(CUT_BEFORE_MS);
@@ -74,7 +78,7 @@
             }
             Play.sleep(CUT_MS - CUT_BEFORE_MS);
             if (isCut) {
-                play.line("hall-b is back");
+                play.line(name + " is back");
                 zone.forEach(Cut::heal);
             }
             Play.sleep(WAVE_MS - CUT_MS);
