--- a/gateway/src/main/java/sandpaddle/mysql/Statement.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Statement.java
@@ -49,7 +49,7 @@
     Pattern KILL = Pattern.compile(
             "\\s*+KILL\\s++(?:(QUERY|CONNECTION)\\s++)?+(\\d{1,9}+)\\s*+;?+\\s*+", Pattern.CASE_INSENSITIVE);
     Pattern SHOW_WARNINGS = Pattern.compile("\\s*+SHOW\\s++WARNINGS\\s*+;?+\\s*+", Pattern.CASE_INSENSITIVE);
-    Pattern SET = Pattern.compile("\\s*SET\\s.*", Pattern.CASE_INSENSITIVE | Pattern.DOTALL);
+    Pattern SET = Pattern.compile("SET\\s", Pattern.CASE_INSENSITIVE);
     Pattern TRACE_ID = Pattern.compile("[0-9a-fA-F]{16}");
     Pattern TENANT = Pattern.compile("[^\\p{Cntrl}]{1,64}");
     Pattern RUN_NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
@@ -62,9 +62,9 @@
      * one.
      */
     static Statement parse(byte[] text) {
-        String sql = new String(text, StandardCharsets.ISO_8859_1); // one char per byte: engines get the same bytes
-        SqlScanner scanner = new SqlScanner(sql);
-        String withoutComments = scanner.withoutLeadingComments();
+        int start = SqlScanner.statementStart(text);
+        // one character per byte
+        String withoutComments = new String(text, start, text.length - start, StandardCharsets.ISO_8859_1);
         Matcher kill = KILL.matcher(withoutComments);
         if (kill.matches()) {
             return new Kill("QUERY".equalsIgnoreCase(kill.group(1)), Integer.parseInt(kill.group(2)));
@@ -72,16 +72,16 @@
         if (SHOW_WARNINGS.matcher(withoutComments).matches()) {
             return new ShowWarnings();
         }
-        FieldComment comment = FieldComment.find(sql, scanner);
+        FieldComment comment = FieldComment.find(text);
         if (comment == null) {
-            return SET.matcher(withoutComments).matches()
+            return SET.matcher(withoutComments).lookingAt()
                     ? new SetOption()
                     : new Malformed("no comment with the field 'route'");
         }
         return parseQuery(comment.fields(), comment.statement());
     }
 
-    private static Statement parseQuery(Map<String, String> fields, String statement) {
+    private static Statement parseQuery(Map<String, String> fields, byte[] statement) {
         String traceId = fields.getOrDefault("trace", "");
         if (!TRACE_ID.matcher(traceId).matches()) {
             return new Malformed("field 'trace' is not 16 hex digits");
@@ -117,7 +117,7 @@
                 return new Malformed("field '" + field + "' is not 1 to 128 printable characters");
             }
         }
-        if (statement.isBlank()) {
+        if (FieldComment.isBlank(statement, statement.length)) {
             return new Malformed("no statement after the fields");
         }
         return new RunQuery(new Query(
@@ -127,7 +127,7 @@
                 duration(estimatedWorkMs),
                 memoryMb,
                 SqlScanner.tableGroup(statement),
-                statement.getBytes(StandardCharsets.ISO_8859_1),
+                statement,
                 runName,
                 again.equals("1"),
                 tenant,
--- a/gateway/src/test/java/sandpaddle/mysql/StatementTest.java
+++ b/gateway/src/test/java/sandpaddle/mysql/StatementTest.java
@@ -30,7 +30,7 @@
     /** The table group steers the choice of an engine; names outside table positions must not affect it. */
     @Test(dataProvider = "tableGroups")
     public void tableGroupIsThatOfTheFirstSchemaInTablePosition(String sql, long group) {
-        assertEquals(SqlScanner.tableGroup(sql), group);
+        assertEquals(SqlScanner.tableGroup(sql.getBytes(StandardCharsets.UTF_8)), group);
     }
 
     @Test
