Client input: all sessions share a turn by cost, and those that send little go first

Cause: TurnBudget bounds what one session takes of a turn. Nothing bounded what all take together, and ready channels were handled in the selector's order: a turn handled the statements of the whole crowd, and a request needs several turns.

InputScheduler keeps an account of what a client's input has cost lately. Who is within an allowance (8 KB, refilled by 64 KB/s) is handled in the turn in which its input is ready, before the others. Those share 256 KB a turn, least recently handled first, so none starves; new connections gain nothing, as a first read takes 8 KB. A connection without a share is read 256 bytes a turn, and on while its commands are deferred, so that a close is noticed: else the sessions of who has gone would push usual ones out. The time of a deferred request counts from when it was first readable.

Related paths: reads outside the turns (accept, KILL, timeouts, eviction, lingering close, the check before an attempt) end at 256 KB; they were bounded only by 8 MB of discarded input a connection. A query whose client sends faster than it is read gets error 1153 and is not started, since its close can't be seen. A session that is not idle is not read for eviction.

--- a/gateway/src/main/java/sandpaddle/eventloop/Connection.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/Connection.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
 
@@ -41,13 +42,18 @@
      */
     private static final int MAX_READS_PER_TURN = 4;
 
+    /** Limit on the bytes of a client that are read at once outside its share of a turn. */
+    public static final int MAX_READ_AVAILABLE_BYTES = 256 * 1024;
+
     private final EventLoop loop;
     private final EventLoop.HandlerPriority priority;
     private final SocketChannel channel;
     private final SelectionKey key;
+    private final InputScheduler.Account inputAccount; // null for connections that were opened
     private final ArrayDeque<ByteBuffer> outbound = new ArrayDeque<>();
     private Listener listener;
     private boolean reading = true;
+    private Instant unreadSince; // since when bytes may wait that were not read for lack of a share; null if none do
     private boolean connected;
     private boolean sendingStarted;
     private boolean closed;
@@ -67,6 +73,7 @@
         this.channel = channel;
         this.listener = listener;
         this.connected = connected;
+        inputAccount = connected ? loop.inputScheduler().open() : null;
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         key = loop.register(channel, connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
     }
@@ -120,6 +127,12 @@
         return priority;
     }
 
+    /** {@inheritDoc} Its owner charges the commands that it handles. */
+    @Override
+    public InputScheduler.Account inputAccount() {
+        return inputAccount;
+    }
+
     @Override
     public void onReady(SelectionKey ready) throws IOException {
         if (ready.isConnectable() && !connected) { // the selector may report it twice
@@ -154,38 +167,82 @@
         updateInterest();
     }
 
+    /** The earliest time at which the bytes that are read now may have been readable. */
+    public Instant readableSince() {
+        return unreadSince == null ? loop.readableSince() : unreadSince;
+    }
+
     private void readInTurn() throws IOException {
         int reads = priority == EventLoop.HandlerPriority.ENGINE ? 1 : MAX_READS_PER_TURN;
-        while (reads > 0 && reading && read(loop.readBuffer())) {
-            reads--;
+        boolean more = reading && read(limited(loop.readBuffer())) > 0;
+        while (more && --reads > 0 && reading && mayRead()) {
+            more = read(limited(loop.readBuffer())) > 0;
         }
+        noteUnread(more && !mayRead());
     }
 
-    /** Reads once; returns whether more bytes may be available. */
-    private boolean read(ByteBuffer buffer) throws IOException {
+    private ByteBuffer limited(ByteBuffer buffer) {
+        return inputAccount == null ? buffer : buffer.limit(inputAccount.maxReadBytes());
+    }
+
+    private boolean mayRead() {
+        return inputAccount == null || inputAccount.mayRead();
+    }
+
+    private void noteUnread(boolean left) {
+        unreadSince = !left ? null : unreadSince == null ? loop.readableSince() : unreadSince;
+    }
+
+    /** Reads once; returns the number of bytes, which is not positive if there are none. */
+    private int read(ByteBuffer buffer) throws IOException {
         int bytes = closed ? 0 : channel.read(buffer);
         if (bytes > 0) {
+            if (inputAccount != null) {
+                inputAccount.chargeRead(bytes);
+            }
             listener.onReceived(buffer.flip());
         } else if (bytes < 0) {
             onFailure(null);
         }
-        return bytes > 0;
+        return bytes;
+    }
+
+    /** Reads what has arrived, without waiting for the next turn, as far as the client's share of the turn allows. */
+    public void readWithinShare() {
+        if (connected && !closed) {
+            try {
+                readInTurn();
+            } catch (IOException e) {
+                onFailure(e);
+            }
+        }
     }
 
     /**
      * Reads all bytes that have arrived, and the peer's close, without waiting for the next turn. Called before work is
-     * started for the peer and before the connection is closed. The amount is bounded only by the listener, which may
-     * close the connection or turn reading off.
+     * started for the peer and before the connection is closed. Ends when the listener turns reading off, and after
+     * {@link #MAX_READ_AVAILABLE_BYTES} of a client: one that sends without pause may refill the socket for ever.
+     *
+     * @return whether all was read; false if the limit was reached
      */
-    public void readAvailable() {
-        boolean more = true;
+    public boolean readAvailable() {
+        int total = 0;
         try {
-            while (more && connected && reading) {
-                more = read(loop.readAvailableBuffer());
+            while (connected && reading) {
+                int bytes = read(loop.readAvailableBuffer());
+                if (bytes <= 0) {
+                    unreadSince = null;
+                    return true;
+                }
+                total += bytes;
+                if (inputAccount != null && total >= MAX_READ_AVAILABLE_BYTES) {
+                    return false;
+                }
             }
         } catch (IOException e) {
             onFailure(e);
         }
+        return true;
     }
 
     /**
--- a/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
@@ -8,14 +8,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import org.tinylog.Logger;
 
 /**
  * A single-threaded event loop around one selector. Each iteration, called a turn, waits until a channel is ready or a
- * timer is due, runs the handlers of ready channels in the order of their {@link HandlerPriority}, then the tasks and
- * due timers, and finally the task given to {@link #run}. An exception thrown by a handler or task is logged and does
+ * timer is due, runs the handlers of ready channels in the order of their {@link HandlerPriority}, those of clients in
+ * the order of {@link InputScheduler}, then the due timers, and finally the task given to {@link #run}. An exception thrown by a handler or task is logged and does
  * not affect the others.
  *
  * <p>All methods except {@link #wakeup} are confined to the loop's thread. {@link #now} is constant during a turn.
@@ -37,6 +36,11 @@
         /** The position among the handlers of a turn. */
         HandlerPriority priority();
 
+        /** The account of the client's input, which orders the handlers of clients; null for other channels. */
+        default InputScheduler.Account inputAccount() {
+            return null;
+        }
+
         /** Called when the channel is ready for an operation that it is registered for. */
         void onReady(SelectionKey key) throws IOException;
 
@@ -44,6 +48,18 @@
         void onFailure(Exception cause);
     }
 
+    /** A part of a turn: a ready channel, or input that an earlier turn has deferred. */
+    private record TurnStep(HandlerPriority priority, InputScheduler.Account account, Runnable task)
+            implements Comparable<TurnStep> {
+        @Override
+        public int compareTo(TurnStep other) {
+            int byPriority = priority.compareTo(other.priority);
+            return byPriority != 0 || account == null || other.account == null
+                    ? byPriority
+                    : account.compareTo(other.account);
+        }
+    }
+
     private static final int READ_BUFFER_BYTES = 64 * 1024;
     private static final int READ_AVAILABLE_BUFFER_BYTES = 16 * 1024;
 
@@ -68,7 +84,8 @@
     private final ByteBuffer readAvailableBuffer = ByteBuffer.allocateDirect(READ_AVAILABLE_BUFFER_BYTES);
     private Instant now;
     private Instant readableSince;
-    private List<Runnable> nextTurnTasks = new ArrayList<>();
+    private final InputScheduler inputScheduler;
+    private List<TurnStep> deferredInput = new ArrayList<>();
     private long turn;
     private boolean turnRequested;
     private boolean stopped;
@@ -85,6 +102,7 @@
         this.clock = clock;
         now = clock.instant();
         readableSince = now;
+        inputScheduler = new InputScheduler(now);
     }
 
     // ---- Time.
@@ -119,9 +137,14 @@
         return turn;
     }
 
-    /** Runs a task in the next turn, which starts without waiting. */
-    public void runNextTurn(Runnable task) {
-        nextTurnTasks.add(task);
+    /** Shares the turns among the connections of clients. */
+    InputScheduler inputScheduler() {
+        return inputScheduler;
+    }
+
+    /** Handles buffered input of a client in the next turn, which starts without waiting. */
+    public void deferInput(InputScheduler.Account account, Runnable task) {
+        deferredInput.add(new TurnStep(HandlerPriority.CLIENT, account, task));
         turnRequested = true;
     }
 
@@ -153,13 +176,13 @@
         awaitReady(maxWait);
         turn++;
         closedChannels = 0;
-        List<SelectionKey> ready = new ArrayList<>(selector.selectedKeys());
+        inputScheduler.beginTurn(now);
+        List<TurnStep> steps = deferredInput;
+        deferredInput = new ArrayList<>();
+        selector.selectedKeys().forEach(key -> steps.add(step(key)));
         selector.selectedKeys().clear();
-        ready.sort(Comparator.comparing(key -> ((ChannelHandler) key.attachment()).priority()));
-        List<Runnable> tasks = nextTurnTasks;
-        nextTurnTasks = new ArrayList<>();
-        ready.forEach(EventLoop::handle);
-        tasks.forEach(EventLoop::runGuarded);
+        steps.sort(null);
+        steps.forEach(step -> runGuarded(step.task));
         runGuarded(() -> timers.runDue(now));
         runGuarded(endOfTurn);
     }
@@ -182,6 +205,11 @@
         return one.isAfter(other) ? one : other;
     }
 
+    private static TurnStep step(SelectionKey key) {
+        ChannelHandler handler = (ChannelHandler) key.attachment();
+        return new TurnStep(handler.priority(), handler.inputAccount(), () -> handle(key));
+    }
+
     private static void handle(SelectionKey key) {
         ChannelHandler handler = (ChannelHandler) key.attachment();
         if (key.isValid()) {
--- a/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
+++ b/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
@@ -3,11 +3,13 @@
 import java.nio.ByteBuffer;
 import sandpaddle.eventloop.Connection;
 import sandpaddle.eventloop.EventLoop;
+import sandpaddle.eventloop.InputScheduler;
 
 /**
  * Flow control of a client's input: passes packets to the session one by one while the session accepts them. While a
  * query is open the connection is always read, so that a disconnect is detected behind pipelined input. Otherwise
- * reading stops for a client that does not read its answers or has used up its packets of this turn.
+ * reading stops for a client that does not read its answers, and at {@link SessionInput#MAX_PIPELINED_BYTES} for one that
+ * has used up its share of this turn.
  */
 final class CommandFlow {
     /** Handles the packets of one client. */
@@ -34,6 +36,7 @@
     private final Handler handler;
     private final SessionInput input = new SessionInput();
     private final TurnBudget budget;
+    private final InputScheduler.Account account;
     private boolean handling;
     private boolean yielded; // no further packets in this turn
 
@@ -43,6 +46,7 @@
         this.timeouts = timeouts;
         this.handler = handler;
         budget = new TurnBudget(loop);
+        account = connection.inputAccount();
     }
 
     /** Raises the limit on the packet size after the login. */
@@ -66,12 +70,12 @@
      */
     void onReceived(ByteBuffer bytes) {
         if (!handler.acceptsPackets()) {
-            if (!input.appendPipelined(bytes, loop.readableSince())) {
+            if (!input.appendPipelined(bytes, connection.readableSince())) {
                 connection.onFailure(null);
             }
             return;
         }
-        input.append(bytes, loop.readableSince());
+        input.append(bytes, connection.readableSince());
         if (!handling) {
             handlePackets();
         } else if (input.isFull()) {
@@ -90,6 +94,7 @@
             while (packet != null) {
                 timeouts.packetCompleted();
                 handler.handle(packet);
+                account.charge(InputScheduler.COMMAND_COST + packet.payload().length);
                 if (budget.spend(packet.payload().length)) {
                     yieldTurn();
                 }
@@ -105,8 +110,17 @@
         }
     }
 
+    /** The next packet that is complete and may be handled in this turn; null if there is none. */
     private PacketReader.Packet next() throws ProtocolException {
-        return handler.acceptsPackets() && !isPaused() ? input.next() : null;
+        if (!handler.acceptsPackets() || isPaused()) {
+            return null;
+        }
+        int payloadBytes = input.nextPayloadBytes();
+        if (payloadBytes >= 0 && !account.mayHandle(InputScheduler.COMMAND_COST + payloadBytes)) {
+            yieldTurn();
+            return null;
+        }
+        return input.next();
     }
 
     /** Keeps turns short for the other clients, and bounds the memory for answers that the client does not read. */
@@ -116,7 +130,7 @@
 
     private void updateReading() {
         boolean accepts = handler.acceptsPackets();
-        connection.setReading(!accepts || !isPaused() || input.isEmpty());
+        connection.setReading(!accepts || !isPaused() || input.isEmpty() || mayReadAhead());
         if (accepts && !isPaused() && !input.isEmpty()) {
             timeouts.packetStarted();
         } else {
@@ -124,9 +138,14 @@
         }
     }
 
+    /** Whether input is read while its handling is deferred, so that a close behind it is noticed. */
+    private boolean mayReadAhead() {
+        return yielded && !input.isFull() && connection.unsentBytes() <= MAX_UNSENT_BYTES;
+    }
+
     private void yieldTurn() {
         yielded = true;
-        loop.runNextTurn(() -> {
+        loop.deferInput(account, () -> {
             yielded = false;
             if (!handler.hasEnded()) {
                 handlePackets();
--- a/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -94,7 +94,7 @@
         connection.setListener(session);
         sessions.add(session);
         connection.write(ServerPackets.handshake(session.id, scramble()));
-        connection.readAvailable(); // a login, a KILL or even a query may have arrived already
+        connection.readWithinShare(); // a login, a KILL or even a query may have arrived already
     }
 
     /** Random bytes without zeros, since the field is terminated by a zero. */
@@ -123,7 +123,7 @@
         if (Duration.between(lastReadAt, now).compareTo(LONG_TURN) >= 0) {
             cancellationsReadAt = now;
             acceptor.acceptWaiting();
-            sessions.sessionsWithoutCommand().forEach(Session::readInput);
+            sessions.sessionsWithoutCommand().forEach(Session::readWithinShare);
         }
     }
 
--- a/gateway/src/main/java/sandpaddle/mysql/PacketReader.java
+++ b/gateway/src/main/java/sandpaddle/mysql/PacketReader.java
@@ -66,6 +66,11 @@
         return buffer[offset] & 0xFF | (buffer[offset + 1] & 0xFF) << 8 | (buffer[offset + 2] & 0xFF) << 16;
     }
 
+    /** Length of the next packet's payload; -1 if the packet is not complete. */
+    int nextPayloadBytes() {
+        return isCompleteAt(start) ? payloadLengthAt(start) : -1;
+    }
+
     /** Removes and returns the next packet; null until it is complete. */
     Packet next() throws ProtocolException {
         if (end - start < HEADER_BYTES) {
--- a/gateway/src/main/java/sandpaddle/mysql/Session.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Session.java
@@ -86,6 +86,11 @@
         connection.readAvailable();
     }
 
+    /** Reads and handles what has arrived, as far as the client's share of the turn allows. */
+    void readWithinShare() {
+        connection.readWithinShare();
+    }
+
     @Override
     public boolean acceptsPackets() {
         return state == State.LOGIN || state == State.IDLE;
@@ -141,9 +146,23 @@
                 query.withUser(user), Duration.between(arrivedAt, loop.now()), this::readBeforeAttempt, this::onAnswer);
     }
 
+    /**
+     * Reads the client's input, which may contain its disconnect. The query of a client that sends faster than it is
+     * read is not started: whether the client still waits cannot be known.
+     */
     private void readBeforeAttempt() {
         frontend.readCancellations();
-        readInput();
+        if (!connection.readAvailable() && state == State.BUSY) {
+            cancelQuery();
+            end(tooMuchPipelined(Connection.MAX_READ_AVAILABLE_BYTES));
+        }
+    }
+
+    private static byte[] tooMuchPipelined(int limitBytes) {
+        return ServerPackets.error(
+                FIRST_REPLY_SEQUENCE_ID,
+                SqlError.ER_NET_PACKET_TOO_LARGE,
+                "more than " + limitBytes + " bytes were sent ahead of an answer");
     }
 
     private void onAnswer(Answer answer) {
@@ -159,10 +178,7 @@
             return;
         }
         if (flow.hasDiscarded()) {
-            end(ServerPackets.error(
-                    FIRST_REPLY_SEQUENCE_ID,
-                    SqlError.ER_NET_PACKET_TOO_LARGE,
-                    "more than " + SessionInput.MAX_PIPELINED_BYTES + " bytes were sent ahead of an answer"));
+            end(tooMuchPipelined(SessionInput.MAX_PIPELINED_BYTES));
             return;
         }
         becomeIdle();
@@ -261,7 +277,9 @@
      * @return whether the session has ended
      */
     boolean tryEvict() {
-        readInput();
+        if (isIdle()) {
+            readInput();
+        }
         if (state != State.ENDED && isIdle()) {
             if (idleSince == null) {
                 end(ServerPackets.error(replySequenceId(), SqlError.ER_CON_COUNT_ERROR, "Too many connections"));
--- a/gateway/src/main/java/sandpaddle/mysql/SessionInput.java
+++ b/gateway/src/main/java/sandpaddle/mysql/SessionInput.java
@@ -53,6 +53,11 @@
         return packets.bufferedBytes() == 0;
     }
 
+    /** Length of the next packet's payload; -1 if it is not complete, or not to be read: {@link #next} tells which. */
+    int nextPayloadBytes() {
+        return packets.nextPayloadBytes();
+    }
+
     /** Removes and returns the next packet; null until it is complete, and after input was discarded. */
     PacketReader.Packet next() throws ProtocolException {
         return hasDiscarded() ? null : packets.next();
