Cancel: an attempt is over once its DELETE was answered, not 40 ms after it was written

Cause: ControlCall took a DELETE written on a new connection for delivered when no reset had come for 40 ms. A connection may be reset at any time before the engine reads it; the reset that came later, and the lack of the 204, were ignored. Any other response counted too, also what could not be read.

Now the 204 confirms a DELETE, or any response but a decline on a connection that has carried nothing else, so that no late response to an earlier call is taken for it. Without one it is repeated, with an interval that grows from 20 to 160 ms, until the engine must have dropped the query. A DELETE in flight at that time is taken back. Where the engine has not acknowledged the POST, which may still be on its way on another connection, two confirmations 50 ms apart are needed; bytes that can't be read no longer count as an acknowledgement.

--- a/gateway/src/main/java/sandpaddle/engineclient/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/Attempt.java
@@ -99,7 +99,7 @@
     public void setPriority(int priority) {
         if (phase == Phase.IN_FLIGHT) {
             byte[] request = RequestEncoder.setPriority(pool.host(), spec.traceId(), priority);
-            ControlCall.send(loop, client, pool, request, loop.now().plus(EngineReachability.DROPPED_AFTER), () -> {});
+            ControlCall.change(loop, client, pool, request, loop.now().plus(EngineReachability.DROPPED_AFTER));
         }
     }
 
@@ -116,8 +116,8 @@
     }
 
     /**
-     * Tells the engine to stop. The end is reported once the DELETE was delivered, since a request has at most one
-     * attempt in flight; it is reported immediately if no retry follows.
+     * Tells the engine to stop. The end is reported once the engine has confirmed the DELETE or must have dropped the
+     * query, since a request has at most one attempt in flight; it is reported immediately if no retry follows.
      */
     private void cancel(AttemptEnd end, boolean requestOver) {
         if (phase == Phase.CONNECTING) {
@@ -129,13 +129,14 @@
         }
         phase = Phase.CANCELLING;
         timeout.cancel();
-        Instant lastCallAt = poller.stop();
-        ControlCall.send(
+        Instant lastReachedAt = poller.stop();
+        ControlCall.cancel(
                 loop,
                 client,
                 pool,
                 RequestEncoder.cancel(pool.host(), spec.traceId()),
-                lastCallAt.plus(EngineReachability.DROPPED_AFTER),
+                lastReachedAt.plus(EngineReachability.DROPPED_AFTER),
+                poller.isKnownToEngine(),
                 () -> end(end));
         if (requestOver || spec.isFinal() && end instanceof AttemptEnd.TimedOut) {
             end(end);
--- a/gateway/src/main/java/sandpaddle/engineclient/ControlCall.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/ControlCall.java
@@ -6,26 +6,34 @@
 
 /**
  * A DELETE or PUT that cancels or changes a running query, on a connection other than that of its long poll. Repeated
- * until it was delivered or its deadline has passed. Its response proves only that it was read.
+ * until the engine has confirmed that it read the call, or its deadline has passed. That the call was written proves
+ * nothing: its connection may be reset at any time before the engine reads it.
  *
  * <p>Confined to the event loop's thread.
  */
 final class ControlCall implements ConnectionPool.Callback, EngineConnection.Call {
-    private static final Duration RETRY_INTERVAL = Duration.ofMillis(20);
+    private static final Duration MIN_RETRY_INTERVAL = Duration.ofMillis(20);
+    private static final Duration MAX_RETRY_INTERVAL = Duration.ofMillis(160);
     private static final Duration UNREACHABLE_RETRY_INTERVAL = Duration.ofMillis(100);
 
-    /** A reset that discards a written call is received within this time. */
-    private static final Duration DELIVERY_CONFIRMATION = Duration.ofMillis(40);
+    /**
+     * Time between the two confirmations of a cancel whose POST was not acknowledged: that may have been on its way on
+     * another connection when the engine read the first DELETE.
+     */
+    private static final Duration SETTLE_TIME = Duration.ofMillis(50);
+
+    private static final int STATUS_NO_CONTENT = 204;
 
     private final EventLoop loop;
     private final HttpEngineClient client;
     private final ConnectionPool pool;
     private final byte[] request;
-    private final Instant startedAt;
     private final Instant deadline;
+    private int missingConfirmations;
     private Runnable callback; // null once it ran
+    private EngineConnection calling; // null while no call is in flight
     private boolean onNewConnection;
-    private int sendCount; // a confirmation counts for the latest send only
+    private Duration retryInterval = MIN_RETRY_INTERVAL;
 
     private ControlCall(
             EventLoop loop,
@@ -33,32 +41,54 @@
             ConnectionPool pool,
             byte[] request,
             Instant deadline,
+            int confirmations,
             Runnable callback) {
         this.loop = loop;
         this.client = client;
         this.pool = pool;
         this.request = request;
         this.deadline = deadline;
+        this.missingConfirmations = confirmations;
         this.callback = callback;
-        startedAt = loop.now();
     }
 
     /**
-     * Sends a call.
+     * Sends a DELETE.
      *
      * @param deadline when the engine has dropped a query that is not polled; that it is unreachable before does not
      *     prove that it has stopped
-     * @param callback runs once, now or in a later turn: when the call was delivered, or at the deadline
+     * @param acknowledged whether the engine has responded to a call of the query, so that it has read the POST
+     * @param callback runs once, now or in a later turn: when the engine has given the query up, or at the deadline
      */
-    static void send(
+    static void cancel(
             EventLoop loop,
             HttpEngineClient client,
             ConnectionPool pool,
             byte[] request,
             Instant deadline,
+            boolean acknowledged,
             Runnable callback) {
+        int confirmations = acknowledged ? 1 : 2;
+        start(client, pool, new ControlCall(loop, client, pool, request, deadline, confirmations, callback));
+    }
+
+    /** Sends a PUT, until it is confirmed or the deadline has passed. */
+    static void change(EventLoop loop, HttpEngineClient client, ConnectionPool pool, byte[] request, Instant deadline) {
+        start(client, pool, new ControlCall(loop, client, pool, request, deadline, 1, () -> {}));
+    }
+
+    private static void start(HttpEngineClient client, ConnectionPool pool, ControlCall call) {
         client.controlCallStarted();
-        pool.acquireReserved(new ControlCall(loop, client, pool, request, deadline, callback));
+        call.loop.schedule(call.deadline, call::onDeadline);
+        pool.acquireReserved(call);
+    }
+
+    /** Takes back a call in flight: it must not reach a later attempt of the query at this engine. */
+    private void onDeadline() {
+        if (calling != null) {
+            calling.abandon();
+        }
+        end();
     }
 
     private void end() {
@@ -70,11 +100,7 @@
         }
     }
 
-    private void retryAfter(Duration interval) {
-        if (!loop.now().plus(interval).isBefore(deadline)) {
-            loop.schedule(deadline, this::end);
-            return;
-        }
+    private void sendAfter(Duration interval) {
         loop.scheduleAfter(interval, () -> {
             if (callback != null) {
                 pool.acquireReserved(this);
@@ -82,53 +108,65 @@
         });
     }
 
+    /** The interval grows, since an engine may answer each call at once with something that confirms nothing. */
+    private void retry() {
+        sendAfter(retryInterval);
+        Duration next = retryInterval.multipliedBy(2);
+        retryInterval = next.compareTo(MAX_RETRY_INTERVAL) < 0 ? next : MAX_RETRY_INTERVAL;
+    }
+
     @Override
     public void onConnection(EngineConnection connection) {
-        sendCount++;
-        onNewConnection = connection.isConnectedSince(startedAt);
+        if (callback == null) {
+            pool.release(connection);
+            return;
+        }
+        calling = connection;
+        onNewConnection = !connection.wasUsed();
         connection.call(request, QueryCalls.RESPONSE_TIMEOUT, this);
     }
 
     @Override
     public void onFailure(ConnectFailure failure, String reason) {
-        retryAfter(failure == ConnectFailure.NO_CAPACITY ? RETRY_INTERVAL : UNREACHABLE_RETRY_INTERVAL);
-    }
-
-    /** Counts as delivered without a reset for a while, on a new connection: an older one may be half-open. */
-    @Override
-    public void onWritten() {
-        int sent = sendCount;
-        loop.scheduleAfter(DELIVERY_CONFIRMATION, () -> {
-            if (sent == sendCount && onNewConnection) {
-                end();
-            }
-        });
+        sendAfter(failure == ConnectFailure.NO_CAPACITY ? MIN_RETRY_INTERVAL : UNREACHABLE_RETRY_INTERVAL);
     }
 
-    /** An engine without a free connection declines the call without reading it. */
+    /**
+     * {@inheritDoc} Any response but a decline confirms that the call was read, if nothing else can have caused it: an
+     * earlier call on the connection may be answered twice. An engine without a free connection declines calls unread.
+     */
     @Override
     public void onResponse(Response response, EngineConnection connection) {
-        sendCount++;
-        boolean delivered = !ResponseClassification.isDeclined(response);
-        if (connection != null && delivered) {
+        calling = null;
+        boolean declined = ResponseClassification.isDeclined(response);
+        boolean confirmed = !declined && (onNewConnection || response.status() == STATUS_NO_CONTENT);
+        if (connection != null && confirmed) {
             pool.release(connection);
         } else if (connection != null) {
             connection.abandon();
         }
-        if (delivered || callback == null) {
+        if (confirmed) {
+            confirmed();
+        } else if (declined) {
+            sendAfter(UNREACHABLE_RETRY_INTERVAL);
+        } else {
+            retry();
+        }
+    }
+
+    private void confirmed() {
+        missingConfirmations--;
+        if (missingConfirmations == 0) {
             end();
         } else {
-            retryAfter(UNREACHABLE_RETRY_INTERVAL);
+            sendAfter(SETTLE_TIME);
         }
     }
 
+    /** {@inheritDoc} A malformed response proves nothing: it may be a decline, or a late one to an earlier call. */
     @Override
     public void onFailure(EngineConnection.Failure failure, String reason, boolean maybeSent) {
-        sendCount++;
-        if (failure != EngineConnection.Failure.MALFORMED && callback != null) {
-            retryAfter(RETRY_INTERVAL);
-        } else {
-            end(); // a malformed response shows that the call was read
-        }
+        calling = null;
+        retry();
     }
 }
--- a/gateway/src/main/java/sandpaddle/engineclient/QueryPoller.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/QueryPoller.java
@@ -80,11 +80,16 @@
         calls.post(connection, RequestEncoder.startQuery(pool.host(), spec, remaining));
     }
 
-    /** Stops polling and abandons the call in flight; returns when the latest call started. */
+    /** Stops polling and abandons the call in flight; returns when the engine may have been reached last. */
     Instant stop() {
         return calls.stop();
     }
 
+    /** Whether a response has shown that the engine has read the POST. */
+    boolean isKnownToEngine() {
+        return knownToEngine;
+    }
+
     /** Releases the connection of the last response to the pool. */
     void release() {
         calls.release();
@@ -116,7 +121,6 @@
         if (!maybeSent && !postMaybeSent) {
             owner.end(new AttemptEnd.NotConnected(reason));
         } else if (failure == EngineConnection.Failure.MALFORMED) {
-            knownToEngine |= !postMaybeSent; // the malformed bytes respond to the POST: the engine has read it
             onMalformedResponse(reason, pages.removeLast()); // the bytes may be the rest of the page before
         } else if (calls.isBrokenTooOften(failure)) {
             owner.endAfterCancel(new AttemptEnd.ConnectionLost(reason));
--- a/gateway/src/test/java/sandpaddle/engineclient/DeclinedCallTest.java
+++ b/gateway/src/test/java/sandpaddle/engineclient/DeclinedCallTest.java
@@ -95,6 +95,10 @@
         advance(Duration.ofMillis(40));
         runUntil(() -> callCount("DELETE /x/") == 2);
         respond(accepted.size() - 1, DELETED);
+        advance(Duration.ofMillis(60));
+        runUntil(() -> callCount("DELETE /x/") == 3); // the POST was not acknowledged
+        assertEquals(listener.ends, List.of());
+        respond(accepted.size() - 1, DELETED);
         runUntil(() -> !listener.ends.isEmpty());
         assertEquals(listener.ends, List.of(new AttemptEnd.Cancelled()));
     }
