Engine calls: one without a response is taken back by a reset, and counts until then

Cause: a call that is given up closed its connection with a FIN, behind which TCP still delivers the POST, at any later time. And an attempt counted as dropped 2.3 s after the engine was last heard, although a POST or a poll that is sent again through a partition may have reached it until its connection ended.

Now the connection of a call without a response is reset (SO_LINGER 0): the system drops what the engine has not received, and nothing arrives afterwards. EngineReachability counts from when the last call was answered or taken back; only then do the engine's 2 s without a poll, and 0.25 s of a delayed one, say that the query was dropped.

The price: an attempt at an engine that is cut off under a call ends up to 0.6 s later, after 2.9 s instead of 2.3 s.

CancelledAttemptTest: the four new tests failed before.

--- a/gateway/src/main/java/sandpaddle/engineclient/EngineConnection.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/EngineConnection.java
@@ -162,6 +162,7 @@
         return current;
     }
 
+    /** The reset of the connection takes back a call that is still on its way: it must not begin after its end. */
     private void fail(Failure failure, String reason) {
         boolean maybeSent = connection.startedSending();
         close();
@@ -173,18 +174,22 @@
         }
     }
 
-    /** Closes the connection; a call in flight gets no further event. */
+    /** Closes the connection; a call in flight is taken back as far as it has not arrived, and gets no further event. */
     void abandon() {
+        close();
         if (call != null) {
             endCall();
         }
-        close();
     }
 
     private void close() {
         if (!ended) {
             ended = true;
-            connection.close();
+            if (call != null) {
+                connection.reset();
+            } else {
+                connection.close();
+            }
             pool.connectionEnded(this);
         }
     }
--- a/gateway/src/main/java/sandpaddle/engineclient/EngineReachability.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/EngineReachability.java
@@ -4,8 +4,9 @@
 import java.time.Instant;
 
 /**
- * Records when the engine of one query was last reached, and tells from it whether its process has died or it has
- * dropped the query for lack of polls. A pure state machine: the time is an argument.
+ * Records when a call of one query may have reached its engine last, and tells from it whether the engine's process has
+ * died or it has dropped the query for lack of polls. A call that was written may arrive until its connection is reset:
+ * TCP sends it again, through a partition too. A pure state machine: the time is an argument.
  */
 final class EngineReachability {
     /** An engine drops a query 2 s after its last poll, which it may delay by 250 ms; plus a margin of 50 ms. */
@@ -19,7 +20,7 @@
     private boolean closedByEngine; // how the latest connection ended
     private boolean unreachableReported;
 
-    /** A call starts. The engine counts as reached when the first call starts, until that proves otherwise. */
+    /** A call starts. The engine counts as reached when the first call starts. */
     void callStarted(Instant now) {
         lastReachedAt = lastReachedAt == null ? now : lastReachedAt;
     }
@@ -35,14 +36,20 @@
         lastReachedAt = now;
     }
 
-    /** A call failed on a connection established for it: the engine was reached when the call started. */
-    void newConnectionFailed(Instant callStartedAt) {
-        lastReachedAt = callStartedAt;
+    /** A call ended without a readable response, and its connection was reset: it may have arrived until now. */
+    void callFailed(EngineConnection.Failure failure, Instant now) {
+        callFailed(now);
+        closedByEngine = failure == EngineConnection.Failure.CONNECTION_CLOSED;
     }
 
-    /** A call ended without a readable response. */
-    void callFailed(EngineConnection.Failure failure) {
-        closedByEngine = failure == EngineConnection.Failure.CONNECTION_CLOSED;
+    /** A call was abandoned, and its connection was reset: it may have arrived until now. */
+    void callFailed(Instant now) {
+        lastReachedAt = now;
+    }
+
+    /** The latest time at which a call may have reached the engine; null before the first call. */
+    Instant lastReachedAt() {
+        return lastReachedAt;
     }
 
     /** Records, before a call, whether the connection reserved for it has ended meanwhile. */
--- a/gateway/src/main/java/sandpaddle/engineclient/QueryCalls.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/QueryCalls.java
@@ -74,14 +74,15 @@
         return callStartedAt;
     }
 
-    /** Abandons the call in flight; returns when the latest call started. */
+    /** Abandons the call in flight; returns when the latest call may have reached the engine. */
     Instant stop() {
         if (calling != null) {
             calling.abandon();
             calling = null;
+            reachability.callFailed(loop.now());
         }
         release();
-        return callStartedAt;
+        return reachability.lastReachedAt();
     }
 
     // ---- The connection of the last response.
@@ -230,10 +231,7 @@
         @Override
         public void onFailure(EngineConnection.Failure failure, String reason, boolean maybeSent) {
             calling = null;
-            if (newConnection) { // it was established, so the host was reachable then
-                reachability.newConnectionFailed(callStartedAt);
-            }
-            reachability.callFailed(failure);
+            reachability.callFailed(failure, loop.now());
             listener.onCallFailed(failure, reason, maybeSent, page);
         }
     }
--- a/gateway/src/main/java/sandpaddle/eventloop/Connection.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/Connection.java
@@ -9,6 +9,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
+import org.tinylog.Logger;
 
 /**
  * A non-blocking TCP connection, accepted or opened. Bytes that the socket does not accept at once are queued; the
@@ -354,6 +355,21 @@
         }
     }
 
+    /**
+     * Closes the connection by a reset, without notifying the listener: the system drops the bytes that the peer has not
+     * received yet. After a plain close it goes on sending them, and sends them again once a partition is over.
+     */
+    public void reset() {
+        if (!closed) {
+            try {
+                channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            } catch (IOException e) {
+                Logger.debug("connection closed without a reset: {}", e.toString());
+            }
+            close();
+        }
+    }
+
     /** Closes the connection and drops queued bytes, without notifying the listener. */
     public void close() {
         if (!closed) {
--- a/gateway/src/test/java/sandpaddle/engineclient/AttemptFixture.java
+++ b/gateway/src/test/java/sandpaddle/engineclient/AttemptFixture.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -99,10 +100,19 @@
             accepted.add(next);
         }
         for (SocketChannel channel : accepted) {
-            ByteBuffer bytes = ByteBuffer.allocate(4096);
+            read(channel);
+        }
+    }
+
+    /** Reads what has arrived; closes a connection that the gateway has reset. */
+    private void read(SocketChannel channel) throws IOException {
+        ByteBuffer bytes = ByteBuffer.allocate(4096);
+        try {
             if (channel.isOpen() && channel.read(bytes) > 0) {
                 received.append(StandardCharsets.ISO_8859_1.decode(bytes.flip()));
             }
+        } catch (SocketException e) {
+            channel.close();
         }
     }
 
--- a/gateway/src/test/java/sandpaddle/engineclient/CancelledAttemptTest.java
+++ b/gateway/src/test/java/sandpaddle/engineclient/CancelledAttemptTest.java
@@ -1,9 +1,12 @@
 package sandpaddle.engineclient;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
@@ -64,6 +67,16 @@
         assertEquals(listener.ends, List.of(new AttemptEnd.Cancelled()));
     }
 
+    /** Guards against two attempts at once: a silent engine has given nothing up before it must have dropped it. */
+    @Test
+    public void unansweredDeleteProvesNothingBeforeTheEngineHasDroppedTheQuery() throws Exception {
+        cancelAcknowledgedAttempt();
+        advance(Duration.ofMillis(2250));
+        assertEquals(listener.ends, List.of());
+        advance(Duration.ofMillis(100));
+        assertEquals(listener.ends, List.of(new AttemptEnd.Cancelled()));
+    }
+
     /** Guards against two attempts at once: what cannot be read may be a spoilt decline, or meant for another call. */
     @Test
     public void malformedResponseDoesNotConfirmTheDelete() throws Exception {
@@ -92,4 +105,52 @@
         respond(accepted.size() - 1, DELETED);
         runUntil(() -> !listener.ends.isEmpty());
     }
+
+    private static boolean isReset(SocketChannel channel) {
+        try {
+            channel.read(ByteBuffer.allocate(16));
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Guards against an attempt that begins after a partition: TCP delivered a POST that had been given up. */
+    @Test
+    public void postWithoutAResponseIsTakenBackByAReset() throws Exception {
+        start(listener);
+        runUntil(() -> postCount() == 1);
+        advanceWithoutReading(Duration.ofMillis(620));
+        assertTrue(isReset(accepted.get(0)), "the connection of the POST was not reset");
+    }
+
+    /** The same for an attempt that is cancelled. */
+    @Test
+    public void postOfACancelledAttemptIsTakenBackByAReset() throws Exception {
+        EngineClient.AttemptHandle running = start(listener);
+        runUntil(() -> postCount() == 1);
+        running.cancel(false);
+        advanceWithoutReading(Duration.ofMillis(20));
+        assertTrue(isReset(accepted.get(0)), "the connection of the POST was not reset");
+    }
+
+    /** Guards against two attempts at once: the POST may have arrived until its connection was reset. */
+    @Test
+    public void engineThatIsCutOffMayHaveBegunUntilThePostWasTakenBack() throws Exception {
+        start(listener);
+        runUntil(() -> postCount() == 1);
+        listening.close();
+        advance(Duration.ofMillis(2850)); // it is taken back after 600 ms, and dropped 2.3 s later at the latest
+        assertEquals(listener.ends, List.of());
+        advance(Duration.ofMillis(350));
+        assertEquals(listener.ends.get(0).getClass(), AttemptEnd.ConnectionLost.class);
+    }
+
+    private void advanceWithoutReading(Duration span) throws IOException {
+        for (long ms = 0; ms < span.toMillis(); ms += STEP.toMillis()) {
+            clock.advance(STEP);
+            loop.runTurn(() -> {}, Duration.ofMillis(1));
+            loop.runTurn(() -> {}, Duration.ofMillis(1));
+        }
+    }
 }
