Client input: one account bounds the memory of all statements, complete and not

It lives under a limit of 192 MB and would be killed under one of 128 MB.

Cause: a session's buffer grew by doubling, to 128 KB for a statement of 64 KB, and nothing bounded what all sessions hold together: 44 MB of buffers, and 22 MB of the statements of open queries, in a heap of 88 MB.

Past it, an incomplete statement ends its session with error 1203 and a complete one is rejected; both never ran. Input behind an open query is discarded, as past 64 KB. A buffer grows to one statement, and is dropped when its session ends.

--- a/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
+++ b/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
@@ -34,17 +34,18 @@
     private final Connection connection;
     private final SessionTimeouts timeouts;
     private final Handler handler;
-    private final SessionInput input = new SessionInput();
+    private final SessionInput input;
     private final TurnBudget budget;
     private final InputScheduler.Account account;
     private boolean handling;
     private boolean yielded; // no further packets in this turn
 
-    CommandFlow(EventLoop loop, Connection connection, SessionTimeouts timeouts, Handler handler) {
+    CommandFlow(EventLoop loop, Connection connection, SessionTimeouts timeouts, InputMemory memory, Handler handler) {
         this.loop = loop;
         this.connection = connection;
         this.timeouts = timeouts;
         this.handler = handler;
+        input = new SessionInput(memory);
         budget = new TurnBudget(loop);
         account = connection.inputAccount();
     }
@@ -75,7 +76,11 @@
             }
             return;
         }
-        input.append(bytes, connection.readableSince());
+        if (!input.append(bytes, connection.readableSince())) {
+            handler.onProtocolError(new ProtocolException(
+                    SqlError.ER_TOO_MANY_USER_CONNECTIONS, "no memory for a long statement at the moment"));
+            return;
+        }
         if (!handling) {
             handlePackets();
         } else if (input.isFull()) {
@@ -83,6 +88,11 @@
         }
     }
 
+    /** Drops all input of a session that has ended. */
+    void close() {
+        input.close();
+    }
+
     /** Handles buffered packets up to the next query. Must be called again once that query is answered. */
     void handlePackets() {
         if (handling) {
--- a/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -33,6 +33,7 @@
     private final QueryService service;
     private final SplittableRandom random;
     private final SessionRegistry sessions = new SessionRegistry();
+    private final InputMemory inputMemory = InputMemory.ofHeap();
     private final KillCommands kills = new KillCommands(sessions);
     private final Set<LingeringClose> lingeringCloses = new LinkedHashSet<>();
     private final Acceptor acceptor;
@@ -72,6 +73,11 @@
         return sessions;
     }
 
+    /** The memory that statements of all clients may take. */
+    InputMemory inputMemory() {
+        return inputMemory;
+    }
+
     KillCommands kills() {
         return kills;
     }
--- a/gateway/src/main/java/sandpaddle/mysql/OpenQuery.java
+++ b/gateway/src/main/java/sandpaddle/mysql/OpenQuery.java
@@ -12,16 +12,19 @@
  */
 final class OpenQuery {
     private final QueryService service;
+    private final InputMemory memory;
+    private int heldBytes; // of the open query's statement
     private int latestId; // number of the latest query, by which an answer to an earlier one is recognized
     private boolean open;
     private QueryService.PendingQuery pendingQuery;
 
-    OpenQuery(QueryService service) {
+    OpenQuery(QueryService service, InputMemory memory) {
         this.service = service;
+        this.memory = memory;
     }
 
     /**
-     * Submits a query.
+     * Submits a query, or rejects it at once if there is no memory for its statement.
      *
      * @param query the query
      * @param waited time since the query arrived, which counts towards its timeout
@@ -30,6 +33,11 @@
      * @param callback receives the answer once, within this call or later
      */
     void submit(Query query, Duration waited, Runnable readInput, Consumer<Answer> callback) {
+        if (!memory.tryResize(0, query.statement().length)) {
+            callback.accept(new Answer.Rejected(Duration.ZERO));
+            return;
+        }
+        heldBytes = query.statement().length;
         int id = ++latestId;
         open = true;
         QueryService.PendingQuery submitted = service.submit(
@@ -66,6 +74,8 @@
     private QueryService.PendingQuery close() {
         QueryService.PendingQuery submitted = pendingQuery;
         open = false;
+        memory.release(heldBytes);
+        heldBytes = 0;
         pendingQuery = null;
         return submitted;
     }
--- a/gateway/src/main/java/sandpaddle/mysql/PacketReader.java
+++ b/gateway/src/main/java/sandpaddle/mysql/PacketReader.java
@@ -24,6 +24,7 @@
      */
     record Packet(int sequenceId, byte[] payload, Instant arrivedAt) {}
 
+    private final InputMemory memory;
     private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
     private int start, end;
     private int completeEnd; // end of the last complete packet
@@ -35,18 +36,19 @@
         maxPayloadBytes = MAX_PAYLOAD_BYTES;
     }
 
-    /** Appends the remaining bytes of a buffer, which arrived at the given time. */
-    void append(ByteBuffer bytes, Instant arrivedAt) {
-        if (buffer.length - end < bytes.remaining()) {
-            int kept = end - start;
-            byte[] target = kept + bytes.remaining() > buffer.length
-                    ? new byte[Math.max(2 * buffer.length, kept + bytes.remaining())]
-                    : buffer;
-            System.arraycopy(buffer, start, target, 0, kept);
-            buffer = target;
-            completeEnd -= start;
-            start = 0;
-            end = kept;
+    PacketReader(InputMemory memory) {
+        this.memory = memory;
+        memory.tryResize(0, buffer.length);
+    }
+
+    /**
+     * Appends the remaining bytes of a buffer, which arrived at the given time.
+     *
+     * @return false, without effect, if there is no memory for them
+     */
+    boolean append(ByteBuffer bytes, Instant arrivedAt) {
+        if (buffer.length - end < bytes.remaining() && !makeRoom(bytes.remaining())) {
+            return false;
         }
         int count = bytes.remaining();
         bytes.get(buffer, end, count);
@@ -55,6 +57,35 @@
             completeEnd += HEADER_BYTES + payloadLengthAt(completeEnd);
             arrivals.add(arrivedAt);
         }
+        return true;
+    }
+
+    /** Moves the buffered bytes to the start of the buffer, or of a larger one; returns false if there is none. */
+    private boolean makeRoom(int bytes) {
+        int kept = end - start;
+        byte[] target = buffer;
+        if (kept + bytes > buffer.length) {
+            int capacity = Math.max(Math.min(2 * buffer.length, HEADER_BYTES + MAX_PAYLOAD_BYTES), kept + bytes);
+            if (!memory.tryResize(buffer.length, capacity)) {
+                return false;
+            }
+            target = new byte[capacity];
+        }
+        System.arraycopy(buffer, start, target, 0, kept);
+        buffer = target;
+        completeEnd -= start;
+        start = 0;
+        end = kept;
+        return true;
+    }
+
+    /** Drops all bytes and gives their memory back; nothing may be appended afterwards. */
+    void close() {
+        memory.release(buffer.length);
+        buffer = new byte[0];
+        start = 0;
+        end = 0;
+        completeEnd = 0;
     }
 
     private boolean isCompleteAt(int offset) {
@@ -94,6 +125,7 @@
             end = 0;
             completeEnd = 0;
             if (buffer.length > INITIAL_BUFFER_BYTES) {
+                memory.release(buffer.length - INITIAL_BUFFER_BYTES);
                 buffer = new byte[INITIAL_BUFFER_BYTES]; // keeps the memory of idle sessions low
             }
         }
--- a/gateway/src/main/java/sandpaddle/mysql/Session.java
+++ b/gateway/src/main/java/sandpaddle/mysql/Session.java
@@ -51,8 +51,8 @@
         this.id = id;
         commands = new CommandHandler(frontend, this);
         timeouts = new SessionTimeouts(loop, connection, this::onTimeout);
-        flow = new CommandFlow(loop, connection, timeouts, this);
-        openQuery = new OpenQuery(frontend.service());
+        flow = new CommandFlow(loop, connection, timeouts, frontend.inputMemory(), this);
+        openQuery = new OpenQuery(frontend.service(), frontend.inputMemory());
         openedAt = loop.now();
     }
 
@@ -265,6 +265,7 @@
     private void markEnded() {
         state = State.ENDED;
         timeouts.cancel();
+        flow.close();
         frontend.sessions().remove(this);
     }
 
--- a/gateway/src/main/java/sandpaddle/mysql/SessionInput.java
+++ b/gateway/src/main/java/sandpaddle/mysql/SessionInput.java
@@ -10,28 +10,42 @@
     /** Bytes beyond that limit that are read and discarded before the connection is closed. */
     private static final long MAX_DISCARDED_BYTES = 8L * 1024 * 1024;
 
-    private final PacketReader packets = new PacketReader();
+    private final PacketReader packets;
     private long discardedBytes;
 
+    SessionInput(InputMemory memory) {
+        packets = new PacketReader(memory);
+    }
+
     /** Raises the limit on the packet size after the login. */
     void onLoggedIn() {
         packets.onLoggedIn();
     }
 
-    /** Appends bytes that arrived at the given time while no query is open. */
-    void append(ByteBuffer bytes, Instant arrivedAt) {
-        packets.append(bytes, arrivedAt);
+    /**
+     * Appends bytes that arrived at the given time while no query is open.
+     *
+     * @return false if there is no memory for them
+     */
+    boolean append(ByteBuffer bytes, Instant arrivedAt) {
+        return packets.append(bytes, arrivedAt);
+    }
+
+    /** Drops all input of a session that has ended. */
+    void close() {
+        packets.close();
     }
 
     /**
      * Appends bytes that arrived while a query is open; they are read so that a disconnect behind them is detected.
-     * Once they exceed {@link #MAX_PIPELINED_BYTES}, they are discarded.
+     * Once they exceed {@link #MAX_PIPELINED_BYTES}, or there is no memory for them, they are discarded.
      *
      * @return false if more was discarded than is permitted
      */
     boolean appendPipelined(ByteBuffer bytes, Instant arrivedAt) {
-        if (!hasDiscarded() && packets.bufferedBytes() + bytes.remaining() <= MAX_PIPELINED_BYTES) {
-            packets.append(bytes, arrivedAt);
+        if (!hasDiscarded()
+                && packets.bufferedBytes() + bytes.remaining() <= MAX_PIPELINED_BYTES
+                && packets.append(bytes, arrivedAt)) {
             return true;
         }
         discardedBytes += bytes.remaining();
--- a/gateway/src/test/java/sandpaddle/mysql/CommandFlowTest.java
+++ b/gateway/src/test/java/sandpaddle/mysql/CommandFlowTest.java
@@ -61,7 +61,12 @@
 
     private void onAccepted(Connection accepted) {
         connection = accepted;
-        flow = new CommandFlow(loop, accepted, new SessionTimeouts(loop, accepted, reason -> {}), new ReadingHandler());
+        flow = new CommandFlow(
+                loop,
+                accepted,
+                new SessionTimeouts(loop, accepted, reason -> {}),
+                InputMemory.ofHeap(),
+                new ReadingHandler());
         accepted.setListener(new Connection.Listener() {
             @Override
             public void onReceived(ByteBuffer bytes) {
--- a/gateway/src/test/java/sandpaddle/mysql/PacketReaderTest.java
+++ b/gateway/src/test/java/sandpaddle/mysql/PacketReaderTest.java
@@ -23,7 +23,7 @@
             Random random = new Random(seed);
             List<Integer> ends = new ArrayList<>();
             byte[] bytes = randomPackets(random, ends);
-            PacketReader reader = new PacketReader();
+            PacketReader reader = new PacketReader(new InputMemory(Long.MAX_VALUE / 2));
             List<Instant> arrivals = new ArrayList<>();
             int next = 0;
             for (int offset = 0; offset < bytes.length; ) {
