Trace ids: one is not accepted again while an engine may run it, nor that of a load

Cause: once a client has left or its time is over, the end of the attempt is reported before its DELETE is confirmed, as no retry follows; the id was released with it. And nothing remembered the id of a load that may have run.

TraceIds holds an id until the engine has confirmed the DELETE or must have dropped the query, and that of a request that must not run twice and was not served for as long as its class may take, 16,384 of them at most. A request with such an id gets the error that the id of an open query gets: it is not refused as never run, since it may have.

--- a/gateway/src/main/java/sandpaddle/dispatch/ActiveRequest.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/ActiveRequest.java
@@ -33,6 +33,7 @@
     private int priority = DEFAULT_PRIORITY;
     private double memoryMb;
     private boolean mayHaveRun;
+    private boolean served;
     private boolean queued;
     private EngineClient.AttemptHandle attemptInFlight;
     private String engine;
@@ -210,9 +211,15 @@
         return callback == null;
     }
 
+    /** Whether its client has received the result. */
+    boolean isServed() {
+        return served;
+    }
+
     /** Gives the final answer, if it is still due. */
     void answer(Answer answer) {
         Consumer<Answer> receiver = callback;
+        served |= receiver != null && answer instanceof Answer.Served;
         close();
         if (receiver != null) {
             receiver.accept(answer);
--- a/gateway/src/main/java/sandpaddle/dispatch/ActiveRequests.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/ActiveRequests.java
@@ -3,13 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import sandpaddle.decision.Micros;
 import sandpaddle.decision.event.ClientDisconnected;
 import sandpaddle.decision.settings.DecisionSettings;
 import sandpaddle.decision.settings.Idempotency;
+import sandpaddle.decision.settings.RequestClass;
 import sandpaddle.eventloop.Scheduler;
 import sandpaddle.query.Answer;
 import sandpaddle.query.FleetCoordination;
@@ -34,7 +34,7 @@
     private final EventQueue events;
     private final FleetCoordination fleet;
     private final Map<String, ActiveRequest> requests = new HashMap<>();
-    private final Set<String> traceIds = new HashSet<>();
+    private final TraceIds traceIds = new TraceIds();
     private final List<ActiveRequest> abandoned = new ArrayList<>();
     private long nextSerial;
 
@@ -81,15 +81,19 @@
         return attempt < settings.limits().maxAttempts();
     }
 
-    /**
-     * Accepts a query.
-     *
-     * @return null if its trace id is that of an active request, since engines identify queries by it alone
-     */
+    /** Why a query with this trace id cannot be accepted; null if it can. */
+    String traceConflict(String traceId) {
+        return traceIds.conflict(traceId, loop.now());
+    }
+
+    /** Counts an attempt as running until the returned task runs. */
+    Runnable attemptStarted(ActiveRequest request) {
+        return traceIds.attemptStarted(request.query().traceId());
+    }
+
+    /** Accepts a query whose trace id is in no conflict. */
     ActiveRequest open(Query query, int classIndex, ActiveRequest.Client client) {
-        if (!traceIds.add(query.traceId())) {
-            return null;
-        }
+        traceIds.opened(query.traceId());
         ActiveRequest request = new ActiveRequest(
                 query.traceId() + "-" + nextSerial++,
                 query,
@@ -182,7 +186,16 @@
     /** Removes a request that has its answer and no attempt in flight. */
     void removeIfDone(ActiveRequest request) {
         if (request.isAnswered() && !request.hasAttemptInFlight() && requests.remove(request.id()) != null) {
-            traceIds.remove(request.query().traceId());
+            traceIds.closed(request.query().traceId());
+            rememberIfMayHaveRun(request);
+        }
+    }
+
+    /** A client that was served knows that its request has run; any other may send it again, though it must not run twice. */
+    private void rememberIfMayHaveRun(ActiveRequest request) {
+        RequestClass requestClass = settings.classes().get(request.classIndex());
+        if (requestClass.idempotency() == Idempotency.NOT_IDEMPOTENT && request.mayHaveRun() && !request.isServed()) {
+            traceIds.spent(request.query().traceId(), loop.now(), Micros.span(requestClass.deadlineUs()));
         }
     }
 }
--- a/gateway/src/main/java/sandpaddle/dispatch/AttemptRunner.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/AttemptRunner.java
@@ -112,6 +112,7 @@
         private final String engine;
         private final boolean isFinal;
         private final Instant startedAt = loop.now();
+        private final Runnable whenStopped;
         private boolean ended;
 
         RunningAttempt(ActiveRequest request, int number, String engine, boolean isFinal) {
@@ -119,6 +120,12 @@
             this.number = number;
             this.engine = engine;
             this.isFinal = isFinal;
+            whenStopped = requests.attemptStarted(request);
+        }
+
+        @Override
+        public Runnable whenStopped() {
+            return whenStopped;
         }
 
         @Override
--- a/gateway/src/main/java/sandpaddle/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/Dispatcher.java
@@ -187,11 +187,12 @@
     }
 
     private PendingQuery openRequest(Query query, int classIndex, int tenant, ActiveRequest.Client client) {
-        ActiveRequest request = requests.open(query, classIndex, client);
-        if (request == null) {
-            client.callback().accept(new Answer.Invalid("trace " + query.traceId() + " is that of an open query"));
+        String conflict = requests.traceConflict(query.traceId());
+        if (conflict != null) {
+            client.callback().accept(new Answer.Invalid(conflict));
             return ANSWERED;
         }
+        ActiveRequest request = requests.open(query, classIndex, client);
         events.add(new RequestReceived(
                 request.id(),
                 classIndex,
--- a/gateway/src/main/java/sandpaddle/engineclient/Attempt.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/Attempt.java
@@ -129,6 +129,7 @@
         }
         phase = Phase.CANCELLING;
         timeout.cancel();
+        boolean isReportedNow = requestOver || spec.isFinal() && end instanceof AttemptEnd.TimedOut;
         Instant lastReachedAt = poller.stop();
         ControlCall.cancel(
                 loop,
@@ -137,9 +138,9 @@
                 RequestEncoder.cancel(pool.host(), spec.traceId()),
                 lastReachedAt.plus(EngineReachability.DROPPED_AFTER),
                 poller.isKnownToEngine(),
-                () -> end(end));
-        if (requestOver || spec.isFinal() && end instanceof AttemptEnd.TimedOut) {
-            end(end);
+                isReportedNow ? listener.whenStopped() : () -> end(end));
+        if (isReportedNow) {
+            report(end);
         }
     }
 
@@ -148,10 +149,15 @@
     @Override
     public void end(AttemptEnd end) {
         if (phase != Phase.ENDED) {
-            phase = Phase.ENDED;
-            timeout.cancel();
-            poller.release();
-            listener.onEnd(end);
+            report(end);
+            listener.whenStopped().run();
         }
     }
+
+    private void report(AttemptEnd end) {
+        phase = Phase.ENDED;
+        timeout.cancel();
+        poller.release();
+        listener.onEnd(end);
+    }
 }
