Connection ids: those of a new process differ from those of the one before it

Cause: each process counted its connections from 1. Found by reading, for a client that stops waiting sends KILL QUERY with the greeting's id on a new session, and the front may open that at a successor.

The first id follows from the start time, one for each millisecond, as TCP's initial sequence numbers do, so that it is ahead of the ids of a process that took up to 1,000 connections a second. KILL takes nine digits; half of the range is left for one process. Test clients read all four bytes of the id.

--- a/gateway/src/main/java/sandpaddle/app/Server.java
+++ b/gateway/src/main/java/sandpaddle/app/Server.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import org.tinylog.Logger;
 import sandpaddle.config.GatewayConfig;
@@ -117,7 +118,13 @@
                 config.initialListVersion(),
                 dispatcher::endpointListReceived);
         endpointWatcher.start();
-        frontends = List.of(new MysqlFrontend(loop, config.listenAddress(), dispatcher, maxSessions, config.seed()));
+        frontends = List.of(new MysqlFrontend(
+                loop,
+                config.listenAddress(),
+                dispatcher,
+                maxSessions,
+                config.seed(),
+                MysqlFrontend.firstConnectionId(Instant.now())));
         shutdown = new GracefulShutdown(
                 loop,
                 dispatcher,
--- a/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -23,6 +23,8 @@
     public static final int MAX_LINGERING = 24;
 
     private static final int SCRAMBLE_BYTES = 20;
+    /** KILL takes an id of at most nine digits; half of them are left for the connections of one process. */
+    private static final int FIRST_CONNECTION_IDS = 500_000_000;
     /**
      * Time within a turn after which cancellations are read again before an attempt is written. Far below 100 ms: that
      * long after a cancellation no attempt may start for the client.
@@ -49,17 +51,35 @@
      * @param service receives the queries
      * @param maxSessions limit on open sessions
      * @param seed seed of the random scrambles
+     * @param firstConnectionId id of the first connection, see {@link #firstConnectionId}
      * @throws IOException if the address cannot be bound
      */
-    public MysqlFrontend(EventLoop loop, InetSocketAddress address, QueryService service, int maxSessions, long seed)
+    public MysqlFrontend(
+            EventLoop loop,
+            InetSocketAddress address,
+            QueryService service,
+            int maxSessions,
+            long seed,
+            int firstConnectionId)
             throws IOException {
         this.loop = loop;
         this.service = service;
         this.maxSessions = maxSessions;
         random = new SplittableRandom(seed);
+        lastConnectionId = firstConnectionId - 1;
         acceptor = new Acceptor(loop, address, this::onAccepted);
     }
 
+    /**
+     * The id of the first connection of a process, from its start time: it advances by one each millisecond, so that it is
+     * ahead of the ids of an earlier process at the address, unless that has taken over 1,000 connections a second (the
+     * scheme of TCP's initial sequence numbers, RFC 9293, section 3.4.1). A KILL meant for a connection of that process
+     * then names no connection of this one.
+     */
+    public static int firstConnectionId(Instant startedAt) {
+        return 1 + (int) Math.floorMod(startedAt.toEpochMilli(), (long) FIRST_CONNECTION_IDS);
+    }
+
     @Override
     public InetSocketAddress address() throws IOException {
         return acceptor.address();
--- a/gateway/src/test/java/sandpaddle/integration/Client.java
+++ b/gateway/src/test/java/sandpaddle/integration/Client.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -118,7 +120,9 @@
         while (p[offset] != 0) {
             offset++;
         }
-        return p[offset + 1] & 0xFF | (p[offset + 2] & 0xFF) << 8;
+        return ByteBuffer.wrap(p, offset + 1, Integer.BYTES)
+                .order(ByteOrder.LITTLE_ENDIAN)
+                .getInt();
     }
 
     /** Reads a packet and returns its payload. */
--- a/gateway/src/test/java/sandpaddle/integration/ResultNoteIntegrationTest.java
+++ b/gateway/src/test/java/sandpaddle/integration/ResultNoteIntegrationTest.java
@@ -59,6 +59,7 @@
                     }
                 },
                 8,
+                1,
                 1);
         ScriptedEngine.daemon(() -> {
             try {
--- a/gateway/src/test/java/sandpaddle/interleaving/GatewayFixture.java
+++ b/gateway/src/test/java/sandpaddle/interleaving/GatewayFixture.java
@@ -73,6 +73,11 @@
 
     /** Starts a gateway with another limit on sessions. */
     GatewayFixture(int maxSessions) throws IOException {
+        this(maxSessions, Instant.EPOCH);
+    }
+
+    /** Starts a gateway whose process was started at a time by the wall clock. */
+    GatewayFixture(int maxSessions, Instant startedAt) throws IOException {
         names = CONFIG.names();
         DecisionSettings settings = CONFIG.decisionSettings();
         engineClient = new HttpEngineClient(loop, Duration.ofMillis(250), Duration.ofSeconds(15), 40);
@@ -83,7 +88,8 @@
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 new HookedQueryService(),
                 maxSessions,
-                7);
+                7,
+                MysqlFrontend.firstConnectionId(startedAt));
         shutdown = new GracefulShutdown(
                 loop, dispatcher, engineClient, List.of(frontend), Duration.ofSeconds(20), () -> stopped = true);
     }
--- a/gateway/src/test/java/sandpaddle/interleaving/ScriptedClient.java
+++ b/gateway/src/test/java/sandpaddle/interleaving/ScriptedClient.java
@@ -152,7 +152,7 @@
         while (p[at] != 0) {
             at++;
         }
-        return p[at + 1] & 0xFF | (p[at + 2] & 0xFF) << 8;
+        return p[at + 1] & 0xFF | (p[at + 2] & 0xFF) << 8 | (p[at + 3] & 0xFF) << 16 | (p[at + 4] & 0xFF) << 24;
     }
 
     /** The answers after greeting and login: "ok", an error code, "rows" for a result, or "truncated". */
