--- a/gateway/src/main/java/sandpaddle/dispatch/ActiveRequests.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/ActiveRequests.java
@@ -191,7 +191,10 @@
         }
     }
 
-    /** A client that was served knows that its request has run; any other may send it again, though it must not run twice. */
+    /**
+     * A client that was served knows that its request has run; any other may send it again, though it must not run
+     * twice.
+     */
     private void rememberIfMayHaveRun(ActiveRequest request) {
         RequestClass requestClass = settings.classes().get(request.classIndex());
         if (requestClass.idempotency() == Idempotency.NOT_IDEMPOTENT && request.mayHaveRun() && !request.isServed()) {
--- a/gateway/src/main/java/sandpaddle/dispatch/TraceIds.java
+++ b/gateway/src/main/java/sandpaddle/dispatch/TraceIds.java
@@ -10,10 +10,10 @@
 import java.util.Set;
 
 /**
- * The trace ids that a new request must not have, since engines identify queries by them alone: those of open requests,
- * those of attempts that an engine may still run after the request was answered or its client disconnected, and those of
- * requests that must not run twice and may have run. Clients use a new id for each request; one that repeats an id could
- * otherwise have two attempts at once, or run a load twice.
+ * The trace ids that a new request must not have, since engines identify queries by them alone: those of open
+ * requests, those of attempts that an engine may still run after the request was answered or its client disconnected,
+ * and those of requests that must not run twice and may have run. Clients use a new id for each request; one that
+ * repeats an id could otherwise have two attempts at once, or run a load twice.
  *
  * <p>Confined to the event loop's thread. Open ids are bounded by the requests, running ones by the calls that cancel
  * them, each for some seconds, and spent ones by {@link #MAX_SPENT} and by their retention.
--- a/gateway/src/main/java/sandpaddle/engineclient/EngineConnection.java
+++ b/gateway/src/main/java/sandpaddle/engineclient/EngineConnection.java
@@ -174,7 +174,9 @@
         }
     }
 
-    /** Closes the connection; a call in flight is taken back as far as it has not arrived, and gets no further event. */
+    /**
+     * Closes the connection; a call in flight is taken back as far as it has not arrived, and gets no further event.
+     */
     void abandon() {
         close();
         if (call != null) {
--- a/gateway/src/main/java/sandpaddle/eventloop/Connection.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/Connection.java
@@ -356,8 +356,8 @@
     }
 
     /**
-     * Closes the connection by a reset, without notifying the listener: the system drops the bytes that the peer has not
-     * received yet. After a plain close it goes on sending them, and sends them again once a partition is over.
+     * Closes the connection by a reset, without notifying the listener: the system drops the bytes that the peer has
+     * not received yet. After a plain close it goes on sending them, and sends them again once a partition is over.
      */
     public void reset() {
         if (!closed) {
--- a/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/EventLoop.java
@@ -12,10 +12,10 @@
 import org.tinylog.Logger;
 
 /**
- * A single-threaded event loop around one selector. Each iteration, called a turn, waits until a channel is ready or a
- * timer is due, runs the handlers of ready channels in the order of their {@link HandlerPriority}, those of clients in
- * the order of {@link InputScheduler}, then the due timers, and finally the task given to {@link #run}. An exception thrown by a handler or task is logged and does
- * not affect the others.
+ * A single-threaded event loop around one selector. Each iteration, called a turn, waits until a channel is ready or
+ * a timer is due, runs the handlers of ready channels in the order of their {@link HandlerPriority}, those of clients
+ * in the order of {@link InputScheduler}, then the due timers, and finally the task given to {@link #run}. An
+ * exception thrown by a handler or task is logged and does not affect the others.
  *
  * <p>All methods except {@link #wakeup} are confined to the loop's thread. {@link #now} is constant during a turn.
  */
--- a/gateway/src/main/java/sandpaddle/eventloop/InputScheduler.java
+++ b/gateway/src/main/java/sandpaddle/eventloop/InputScheduler.java
@@ -4,15 +4,16 @@
 import java.time.Instant;
 
 /**
- * Shares the turns of an event loop among the connections of clients, by what their input costs. Each connection has an
- * {@link Account} of its recent cost, in bytes of commands handled. Bytes that are only read cost a part of that, and each
- * command costs something beside its bytes. The time for a byte is bounded, so a limit on this cost is one on time.
+ * Shares the turns of an event loop among the connections of clients, by what their input costs. Each connection has
+ * an {@link Account} of its recent cost, in bytes of commands handled. Bytes that are only read cost a part of that,
+ * and each command costs something beside its bytes. The time for a byte is bounded, so a limit on this cost is one
+ * on time.
  *
- * <p>A connection within {@link #ALLOWANCE} is handled in the turn in which its input is ready, whatever the others send,
- * and before them. The others take turns: they share {@link #MAX_TURN_COST}, and who was handled least recently is first.
- * Of a connection without a share {@link #PROBE_BYTES} are read, so that its close is noticed where little is before it.
- * With n clients a turn costs at most {@code MAX_TURN_COST + n * ALLOWANCE}, one command of a client beyond its allowance,
- * and n small reads.
+ * <p>A connection within {@link #ALLOWANCE} is handled in the turn in which its input is ready, whatever the others
+ * send, and before them. The others take turns: they share {@link #MAX_TURN_COST}, and who was handled least recently
+ * is first. Of a connection without a share {@link #PROBE_BYTES} are read, so that its close is noticed where little
+ * is before it. With n clients a turn costs at most {@code MAX_TURN_COST + n * ALLOWANCE}, one command of a client
+ * beyond its allowance, and n small reads.
  *
  * <p>Confined to the event loop's thread.
  */
--- a/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
+++ b/gateway/src/main/java/sandpaddle/mysql/CommandFlow.java
@@ -8,8 +8,8 @@
 /**
  * Flow control of a client's input: passes packets to the session one by one while the session accepts them. While a
  * query is open the connection is always read, so that a disconnect is detected behind pipelined input. Otherwise
- * reading stops for a client that does not read its answers, and at {@link SessionInput#MAX_PIPELINED_BYTES} for one that
- * has used up its share of this turn.
+ * reading stops for a client that does not read its answers, and at {@link SessionInput#MAX_PIPELINED_BYTES} for one
+ * that has used up its share of this turn.
  */
 final class CommandFlow {
     /** Handles the packets of one client. */
--- a/gateway/src/main/java/sandpaddle/mysql/FieldComment.java
+++ b/gateway/src/main/java/sandpaddle/mysql/FieldComment.java
@@ -22,7 +22,9 @@
         private final int[] ends = new int[NAMES.size()]; // 0 if the field is absent
         private boolean isCleared = true;
 
-        /** Reads all pairs; of several with the same name the last one counts. Returns whether the first name is there. */
+        /**
+         * Reads all pairs; of several with the same name the last one counts. Returns whether the first name is there.
+         */
         boolean read(FieldCursor cursor) {
             if (!isCleared) { // by far most comments have no field
                 Arrays.fill(ends, 0);
--- a/gateway/src/main/java/sandpaddle/mysql/FieldCursor.java
+++ b/gateway/src/main/java/sandpaddle/mysql/FieldCursor.java
@@ -3,9 +3,9 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Walks the {@code name=value} pairs in a range of a text of ISO 8859-1, which commas separate. Names are compared where
- * they stand, without copies, so that the cost for each byte is bounded. Text without a name before an equals sign is
- * skipped.
+ * Walks the {@code name=value} pairs in a range of a text of ISO 8859-1, which commas separate. Names are compared
+ * where they stand, without copies, so that the cost for each byte is bounded. Text without a name before an equals
+ * sign is skipped.
  */
 final class FieldCursor {
     private final byte[] text;
--- a/gateway/src/main/java/sandpaddle/mysql/InputMemory.java
+++ b/gateway/src/main/java/sandpaddle/mysql/InputMemory.java
@@ -26,7 +26,9 @@
         return new InputMemory(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
     }
 
-    /** Changes the size of a holding, in bytes; returns false, and changes nothing, if it is too large for what is left. */
+    /**
+     * Changes the size of a holding, in bytes; returns false, and changes nothing, if it is too large for what is left.
+     */
     boolean tryResize(int from, int to) {
         if (to > from && to > ALWAYS_GRANTED_BYTES && heldBytes + to - from > maxBytes) {
             return false;
--- a/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
+++ b/gateway/src/main/java/sandpaddle/mysql/MysqlFrontend.java
@@ -71,10 +71,10 @@
     }
 
     /**
-     * The id of the first connection of a process, from its start time: it advances by one each millisecond, so that it is
-     * ahead of the ids of an earlier process at the address, unless that has taken over 1,000 connections a second (the
-     * scheme of TCP's initial sequence numbers, RFC 9293, section 3.4.1). A KILL meant for a connection of that process
-     * then names no connection of this one.
+     * The id of the first connection of a process, from its start time: it advances by one each millisecond, so that
+     * it is ahead of the ids of an earlier process at the address, unless that has taken over 1,000 connections a
+     * second (the scheme of TCP's initial sequence numbers, RFC 9293, section 3.4.1). A KILL meant for a connection
+     * of that process then names no connection of this one.
      */
     public static int firstConnectionId(Instant startedAt) {
         return 1 + (int) Math.floorMod(startedAt.toEpochMilli(), (long) FIRST_CONNECTION_IDS);
--- a/gateway/src/main/java/sandpaddle/query/EngineClient.java
+++ b/gateway/src/main/java/sandpaddle/query/EngineClient.java
@@ -36,8 +36,8 @@
         void onEnd(AttemptEnd end);
 
         /**
-         * A task that runs once, when it is proven that the engine no longer runs the attempt: with its end, or later if
-         * the end was reported before. Should not hold the query, which would stay in memory until then.
+         * A task that runs once, when it is proven that the engine no longer runs the attempt: with its end, or later
+         * if the end was reported before. Should not hold the query, which would stay in memory until then.
          */
         default Runnable whenStopped() {
             return () -> {};
--- a/gateway/src/test/java/sandpaddle/interleaving/ClientCrowdTest.java
+++ b/gateway/src/test/java/sandpaddle/interleaving/ClientCrowdTest.java
@@ -11,7 +11,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Usual clients beside many that send much at once. Rows C6 to C8 of docs/design/crossings.md. */
+/** Usual clients beside many that send much at once. Rows C6 to C9 of docs/design/crossings.md. */
 public class ClientCrowdTest {
     private static final int CLIENTS = 30;
     private static final int STATEMENT_BYTES = 60_000;
--- a/gateway/src/test/java/sandpaddle/interleaving/RepeatedTraceIdTest.java
+++ b/gateway/src/test/java/sandpaddle/interleaving/RepeatedTraceIdTest.java
@@ -7,7 +7,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** A client leaves, and its trace id comes again. Rows D11 and D12 of docs/design/crossings.md. */
+/** A client leaves, and its trace id comes again. Rows L13 and L14 of docs/design/crossings.md. */
 public class RepeatedTraceIdTest {
     private static final int TIMEOUT_MS = 7000;
     private static final String INVALID = "1064";
@@ -38,7 +38,7 @@
         gateway.runUntil(() -> gateway.engine.callCount("DELETE") == 1);
     }
 
-    /** D11. Guards against two attempts at once: the engine may run the first one until it has confirmed its DELETE. */
+    /** L13. Guards against two attempts at once: the engine may run the first one until it has confirmed its DELETE. */
     @Test(dataProvider = "departures")
     public void idIsNotSentAgainBeforeItsAttemptIsProvenOver(String route, Departure departure) throws Exception {
         try (GatewayFixture gateway = new GatewayFixture()) {
@@ -52,7 +52,9 @@
         }
     }
 
-    /** D12. Guards a load against a second run; a query that may be repeated runs again once the first attempt is over. */
+    /**
+     * L14. Guards a load against a second run; a query that may be repeated runs again once the first attempt is over.
+     */
     @Test(dataProvider = "departures")
     public void idOfALoadThatMayHaveRunIsNotSentAgain(String route, Departure departure) throws Exception {
         try (GatewayFixture gateway = new GatewayFixture()) {
--- a/gateway/src/test/java/sandpaddle/interleaving/SuccessorProcessTest.java
+++ b/gateway/src/test/java/sandpaddle/interleaving/SuccessorProcessTest.java
@@ -8,7 +8,7 @@
 import org.testng.annotations.Test;
 import sandpaddle.mysql.MysqlFrontend;
 
-/** A gateway at the address of one that has gone. Row K8 of docs/design/crossings.md. */
+/** A gateway at the address of one that has gone. Row N5 of docs/design/crossings.md. */
 public class SuccessorProcessTest {
     private static final Instant START = Instant.parse("2026-12-05T10:00:00Z");
     private static final int MAX_KILL_ID = 999_999_999;
--- a/gateway/src/test/java/sandpaddle/mysql/StatementCostTest.java
+++ b/gateway/src/test/java/sandpaddle/mysql/StatementCostTest.java
@@ -8,7 +8,9 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** The work for a statement is bounded for each byte; counted in allocated bytes, which do not depend on the machine. */
+/**
+ * The work for a statement is bounded for each byte; counted in allocated bytes, which do not depend on the machine.
+ */
 public class StatementCostTest {
     private static final int TEXT_BYTES = 60_000;
     private static final int MAX_ALLOCATED_PER_BYTE = 16;
